--- /dev/null
+++ b/packages/cli/src/read_current.ts
@@ -0,0 +1,29 @@
+/** Reads the configuration in force from the store. */
+
+import type {ConfigurationHead} from '@cassiaknot/coordination';
+import {ConfigurationLog, describeLogError} from '@cassiaknot/coordination';
+import type {ConfigurationState} from '@cassiaknot/inventory';
+import type {CommandContext} from './command_context.js';
+
+/** The head and the state that it names. */
+export interface CurrentConfiguration {
+  readonly head: ConfigurationHead;
+  readonly state: ConfigurationState;
+}
+
+/** Returns the configuration, or undefined after printing the failure. */
+export async function readCurrent(
+  context: CommandContext,
+): Promise<CurrentConfiguration | undefined> {
+  const log = new ConfigurationLog(context.store);
+  const reading = await log.readHead();
+  if (reading.isErr()) {
+    context.printError(describeLogError(reading.error));
+    return undefined;
+  }
+  const {head} = reading.value;
+  const state = await log.readState(head);
+  if (state.isOk()) return {head, state: state.value};
+  context.printError(describeLogError(state.error));
+  return undefined;
+}
--- /dev/null
+++ b/packages/coordination/src/actors/actor_messages.ts
@@ -0,0 +1,147 @@
+/** Mailbox messages of the control plane's actors. */
+
+import type {Branded, InstanceId} from '@cassiaknot/inventory';
+import type {
+  LinkCloseReason,
+  MemberRecord,
+  PeerAddress,
+  PeerLink,
+  PeerMessage,
+  PeerMessageOf,
+  TargetCapacity,
+  VersionMark,
+} from '@cassiaknot/peer-protocol';
+import type {CatchUp, HeadReading} from '../configuration_log.js';
+import type {LateRef} from './actor_support.js';
+
+/** Identifies a link within this process. */
+export type LinkId = Branded<'LinkId'>;
+
+/** A peer that this daemon wants a link to. */
+export interface WantedPeer {
+  readonly instanceId: InstanceId;
+  readonly address: PeerAddress;
+}
+
+/** Messages to the links actor. */
+export type LinksMessage =
+  | {
+      readonly kind: 'link-opened';
+      readonly linkId: LinkId;
+      readonly link: PeerLink;
+      /** Address dialled; undefined for an accepted link. */
+      readonly address: PeerAddress | undefined;
+    }
+  | {
+      readonly kind: 'link-message';
+      readonly linkId: LinkId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: 'link-closed';
+      readonly linkId: LinkId;
+      readonly reason: LinkCloseReason;
+      readonly address: PeerAddress | undefined;
+    }
+  | {
+      readonly kind: 'send';
+      readonly linkId: LinkId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: 'broadcast';
+      readonly message: PeerMessage;
+      readonly exceptLinkId: LinkId | undefined;
+    }
+  | {readonly kind: 'set-wanted'; readonly wanted: readonly WantedPeer[]}
+  | {readonly kind: 'dial'; readonly addresses: readonly PeerAddress[]}
+  | {readonly kind: 'probe'}
+  | {readonly kind: 'tick'};
+
+/** Messages to the membership actor. */
+export type MembershipMessage =
+  | {readonly kind: 'peer-up'; readonly linkId: LinkId; peerId: InstanceId}
+  | {
+      readonly kind: 'peer-down';
+      readonly peerId: InstanceId;
+      readonly heldVersion: number;
+    }
+  | {
+      readonly kind: 'peer-digest';
+      readonly linkId: LinkId;
+      readonly digest: number;
+    }
+  | {
+      readonly kind: 'peer-members';
+      readonly linkId: LinkId;
+      readonly message: PeerMessageOf<'members'>;
+    }
+  | {
+      readonly kind: 'peer-buckets';
+      readonly linkId: LinkId;
+      readonly message: PeerMessageOf<'member-buckets'>;
+    }
+  | {readonly kind: 'set-own'; readonly change: OwnRecordChange}
+  /** Roles may be taken: the peers are known or there are none. */
+  | {readonly kind: 'settle'}
+  | {readonly kind: 'flush'}
+  | {readonly kind: 'tick'};
+
+/** A change of this member's own record. */
+export interface OwnRecordChange {
+  readonly state?: MemberRecord['state'];
+  /** `null` withdraws the target. */
+  readonly target?: TargetCapacity | null;
+}
+
+/** Messages to the replica actor. */
+export type ReplicaMessage =
+  | {
+      readonly kind: 'peer-tip';
+      readonly linkId: LinkId;
+      readonly tip: VersionMark;
+    }
+  | {
+      readonly kind: 'peer-message';
+      readonly linkId: LinkId;
+      readonly message:
+        | PeerMessageOf<'get-changes'>
+        | PeerMessageOf<'changes'>
+        | PeerMessageOf<'snapshot'>;
+    }
+  | {readonly kind: 'peer-gone'; readonly linkId: LinkId}
+  | {readonly kind: 'store-catch-up'; readonly catchUp: CatchUp}
+  | {readonly kind: 'fetch-timeout'; readonly fetchNumber: number};
+
+/** Messages to the reader actor. */
+export type ReaderMessage =
+  | {readonly kind: 'set-role'; readonly isReader: boolean}
+  | {readonly kind: 'read-once'}
+  | {readonly kind: 'head'; readonly reading: HeadReading | undefined}
+  | {readonly kind: 'caught-up'; readonly reading: HeadReading}
+  | {readonly kind: 'failed'; readonly message: string}
+  | {readonly kind: 'continue'};
+
+/** Messages to the seeds actor. */
+export type SeedsMessage =
+  | {
+      readonly kind: 'set-roles';
+      readonly isSeed: boolean;
+      readonly isReader: boolean;
+    }
+  | {readonly kind: 'links'; readonly count: number}
+  | {readonly kind: 'list'}
+  | {readonly kind: 'listed'; readonly addresses: readonly PeerAddress[]}
+  | {readonly kind: 'list-failed'; readonly message: string}
+  | {readonly kind: 'renew'}
+  | {readonly kind: 'renewed'; readonly isHeld: boolean}
+  | {readonly kind: 'stop'};
+
+/** The mailboxes of the control plane. */
+export interface ActorDirectory {
+  readonly links: LateRef<LinksMessage>;
+  readonly membership: LateRef<MembershipMessage>;
+  readonly replica: LateRef<ReplicaMessage>;
+  readonly reader: LateRef<ReaderMessage>;
+  readonly seeds: LateRef<SeedsMessage>;
+}
--- /dev/null
+++ b/packages/coordination/src/backoff.ts
@@ -0,0 +1,37 @@
+/** Delays between attempts, spread out by decorrelated jitter. */
+
+import type {RandomSource} from './random.js';
+import {randomBetween} from './random.js';
+
+/** Bounds of a {@link Backoff}. */
+export interface BackoffOptions {
+  readonly minDelayMs: number;
+  readonly maxDelayMs: number;
+}
+
+const GROWTH_FACTOR = 3;
+
+/** Grows from the least to the greatest delay while attempts keep failing. */
+export class Backoff {
+  private delayMs: number;
+
+  constructor(
+    private readonly options: BackoffOptions,
+    private readonly random: RandomSource,
+  ) {
+    this.delayMs = options.minDelayMs;
+  }
+
+  /** Returns the delay before the next attempt. */
+  next(): number {
+    const {minDelayMs, maxDelayMs} = this.options;
+    const highMs = Math.min(maxDelayMs, this.delayMs * GROWTH_FACTOR);
+    this.delayMs = randomBetween(this.random, minDelayMs, highMs);
+    return this.delayMs;
+  }
+
+  /** Returns to the least delay after a success. */
+  reset(): void {
+    this.delayMs = this.options.minDelayMs;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/commit_change.ts
@@ -0,0 +1,227 @@
+/**
+ * Commits a change to the configuration. Writing the head with
+ * compare-and-swap is the only commit point; a lost answer is settled by
+ * reading the head and looking for the change's own id.
+ */
+
+import type {
+  Change,
+  ConfigurationState,
+  RecordKey,
+  ValidationProblem,
+} from '@cassiaknot/inventory';
+import {
+  applyChange,
+  getTouchedKeys,
+  validateState,
+} from '@cassiaknot/inventory';
+import type {KeyValueStore} from '@cassiaknot/platform';
+import type {Result} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
+import type {Backoff} from './backoff.js';
+import type {ConfigurationHead} from './configuration_head.js';
+import {HEAD_KEY, getChangeKey} from './configuration_head.js';
+import type {HeadReading, LogError} from './configuration_log.js';
+import {ConfigurationLog, storeFailed} from './configuration_log.js';
+import {MAX_KEPT_CHANGES, SNAPSHOT_INTERVAL_VERSIONS} from './constants.js';
+import {collectSuperseded, writeSnapshot} from './snapshot_writer.js';
+
+/** The version that an accepted change made. */
+export interface CommitReceipt {
+  readonly version: number;
+}
+
+/** Another operator changed a record that this change also touches. */
+export interface ConflictError {
+  readonly kind: 'conflict';
+  readonly recordKey: RecordKey;
+  readonly version: number;
+  readonly author: string;
+}
+
+/** Why a change was not accepted, or that this can't be known. */
+export type CommitError =
+  | ConflictError
+  | {
+      readonly kind: 'invalid';
+      readonly problems: readonly ValidationProblem[];
+    }
+  /** The base version is older than the listed history. */
+  | {readonly kind: 'base-too-old'; readonly baseVersion: number}
+  /** The change certainly did not take effect. */
+  | {readonly kind: 'not-committed'; readonly error: LogError}
+  /** The change may have taken effect; read the head again later. */
+  | {readonly kind: 'unknown'; readonly error: LogError};
+
+/** Collaborators of a commit. */
+export interface CommitOptions {
+  readonly store: KeyValueStore;
+  readonly backoff: Backoff;
+  readonly maxAttempts: number;
+}
+
+const MAX_INLINE_CHANGE_CHARS = 8_000;
+
+/** Commits a change, rebasing it where other writers touched other records. */
+export function commitChange(
+  change: Change,
+  options: CommitOptions,
+): Promise<Result<CommitReceipt, CommitError>> {
+  return new CommitAttempts(change, options).run();
+}
+
+type AttemptOutcome =
+  | {readonly kind: 'done'; readonly result: Result<CommitReceipt, CommitError>}
+  | {readonly kind: 'again'; readonly error: LogError};
+
+/** The attempts to commit one change. */
+class CommitAttempts {
+  private readonly log: ConfigurationLog;
+  private isChangeStored = false;
+  /**
+   * Revision that a write of unknown outcome expects. It can still take effect
+   * for as long as the head is at this revision, and never after.
+   */
+  private pendingRevision: number | undefined;
+
+  constructor(
+    private readonly change: Change,
+    private readonly options: CommitOptions,
+  ) {
+    this.log = new ConfigurationLog(options.store);
+  }
+
+  async run(): Promise<Result<CommitReceipt, CommitError>> {
+    let error: LogError | undefined;
+    for (let count = 0; count < this.options.maxAttempts; count += 1) {
+      if (error) await delay(this.options.backoff.next());
+      const outcome = await this.attempt();
+      if (outcome.kind === 'done') return outcome.result;
+      error = outcome.error;
+    }
+    if (!error) throw new Error('A commit needs at least one attempt');
+    const kind =
+      this.pendingRevision === undefined ? 'not-committed' : 'unknown';
+    return Err({kind, error});
+  }
+
+  private async attempt(): Promise<AttemptOutcome> {
+    const reading = await this.log.readHead();
+    if (reading.isErr()) return again(reading.error);
+    const {head, revision} = reading.value;
+    const own = head.history.find(
+      entry => entry.changeId === this.change.changeId,
+    );
+    if (own) return done(Ok({version: own.version}));
+    if (revision !== this.pendingRevision) this.pendingRevision = undefined;
+    const conflict = await this.findConflict(head);
+    if (conflict) return conflict;
+    const state = await this.log.readState(head);
+    if (state.isErr()) return again(state.error);
+    return this.write(reading.value, state.value);
+  }
+
+  private async findConflict(
+    head: ConfigurationHead,
+  ): Promise<AttemptOutcome | undefined> {
+    const {baseVersion} = this.change;
+    if (baseVersion === head.version) return undefined;
+    const since = await this.log.readChangesAfter(head, baseVersion);
+    if (since.isErr()) return again(since.error);
+    if (!since.value || baseVersion > head.version) {
+      return done(Err({kind: 'base-too-old', baseVersion}));
+    }
+    const touched = getTouchedKeys(this.change);
+    for (const {version, change} of since.value) {
+      for (const recordKey of getTouchedKeys(change)) {
+        if (!touched.has(recordKey)) continue;
+        const {author} = change;
+        return done(Err({kind: 'conflict', recordKey, version, author}));
+      }
+    }
+    return undefined;
+  }
+
+  private async write(
+    reading: HeadReading,
+    state: ConfigurationState,
+  ): Promise<AttemptOutcome> {
+    const next = applyChange(state, this.change);
+    const problems = validateState(next);
+    if (problems.length > 0) return done(Err({kind: 'invalid', problems}));
+    const stored = await this.storeChange();
+    if (stored.isErr()) return again(stored.error);
+    const head = await this.prepareHead(reading.head, next);
+    if (head.isErr()) return again(head.error);
+    return this.swapHead(reading, head.value);
+  }
+
+  private async storeChange(): Promise<Result<void, LogError>> {
+    if (this.isChangeStored) return Ok(undefined);
+    const key = getChangeKey(this.change.changeId);
+    const value = JSON.stringify(this.change);
+    const answer = await this.options.store.put(key, value);
+    if (answer.isErr()) return storeFailed(answer.error);
+    this.isChangeStored = true;
+    return Ok(undefined);
+  }
+
+  private async prepareHead(
+    head: ConfigurationHead,
+    next: ConfigurationState,
+  ): Promise<Result<ConfigurationHead, LogError>> {
+    const {version, digest} = next;
+    const {changeId} = this.change;
+    const accepted = {version, digest, changeId};
+    const history = [...head.history, accepted].slice(-MAX_KEPT_CHANGES);
+    const inlineChange = isSmall(this.change) ? this.change : undefined;
+    const nextHead = {...head, version, digest, history, inlineChange};
+    const snapshotVersion = head.snapshot?.version ?? 0;
+    if (version - snapshotVersion < SNAPSHOT_INTERVAL_VERSIONS) {
+      return Ok(nextHead);
+    }
+    const {store} = this.options;
+    const snapshot = await writeSnapshot(store, next, changeId);
+    return snapshot.map(reference => ({...nextHead, snapshot: reference}));
+  }
+
+  private async swapHead(
+    reading: HeadReading,
+    next: ConfigurationHead,
+  ): Promise<AttemptOutcome> {
+    const answer = await this.options.store.compareAndSwap({
+      key: HEAD_KEY,
+      value: JSON.stringify(next),
+      expectedRevision: reading.revision,
+    });
+    if (answer.isErr()) {
+      // An earlier write may be pending at the same revision: keep the mark.
+      if (answer.error.kind === 'ambiguous') {
+        this.pendingRevision = reading.revision;
+      }
+      return again({kind: 'store', error: answer.error});
+    }
+    if (answer.value.kind === 'conflict') {
+      const message = 'head moved';
+      return again({kind: 'store', error: {kind: 'rejected', message}});
+    }
+    await collectSuperseded(this.options.store, reading.head, next);
+    return done(Ok({version: next.version}));
+  }
+}
+
+function isSmall(change: Change): boolean {
+  return JSON.stringify(change).length <= MAX_INLINE_CHANGE_CHARS;
+}
+
+function done(result: Result<CommitReceipt, CommitError>): AttemptOutcome {
+  return {kind: 'done', result};
+}
+
+function again(error: LogError): AttemptOutcome {
+  return {kind: 'again', error};
+}
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/coordination/src/config_replica.test.ts
@@ -0,0 +1,215 @@
+import type {
+  Change,
+  ConfigurationState,
+  InventoryRecord,
+  RecordKey,
+} from '@cassiaknot/inventory';
+import {
+  EMPTY_STATE,
+  RECORD_SCHEMA,
+  applyChange,
+  brandId,
+  makeRecordKey,
+  newChange,
+  validateState,
+} from '@cassiaknot/inventory';
+import type {Digest} from '@cassiaknot/inventory';
+import type {VersionedChange} from '@cassiaknot/peer-protocol';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {ConfigReplica} from './config_replica.js';
+
+const SEED = 20261204;
+const RUN_COUNT = 300;
+
+/** The accepted versions, some of them invalid; index is the version. */
+interface History {
+  readonly states: readonly ConfigurationState[];
+  readonly changes: readonly VersionedChange[];
+}
+
+/** Simple oracle: the tip, and the last valid version it went through. */
+interface Model {
+  readonly history: History;
+  tipVersion: number;
+  installedVersion: number;
+}
+
+function newOwner(index: number): InventoryRecord {
+  return RECORD_SCHEMA.parse({kind: 'owner', id: `o${index}`, contact: 'c'});
+}
+
+function newService(index: number, ownerIndex: number): InventoryRecord {
+  return RECORD_SCHEMA.parse({
+    kind: 'service',
+    id: `s${index}`,
+    ownerId: `o${ownerIndex}`,
+    dataCentreIds: ['dc'],
+  });
+}
+
+const DATA_CENTRE = RECORD_SCHEMA.parse({
+  kind: 'data-centre',
+  id: 'dc',
+  region: 'r',
+});
+
+/** Puts and removals that often leave a service without its owner. */
+const CHANGES = fc.array(
+  fc.record({
+    owner: fc.option(fc.nat(2), {nil: undefined}),
+    service: fc.option(fc.tuple(fc.nat(2), fc.nat(2)), {nil: undefined}),
+    removedOwner: fc.option(fc.nat(2), {nil: undefined}),
+  }),
+  {minLength: 1, maxLength: 12},
+);
+
+const HISTORIES = CHANGES.map(steps => {
+  const states: ConfigurationState[] = [EMPTY_STATE];
+  const changes: VersionedChange[] = [];
+  for (const {owner, service, removedOwner} of steps) {
+    const previous = states.at(-1) ?? EMPTY_STATE;
+    const puts: InventoryRecord[] = [DATA_CENTRE];
+    const removes: RecordKey[] = [];
+    if (owner !== undefined) puts.push(newOwner(owner));
+    if (service) puts.push(newService(...service));
+    if (removedOwner !== undefined) {
+      removes.push(makeRecordKey('owner', `o${removedOwner}`));
+    }
+    const change: Change = newChange('a', previous.version, puts, removes);
+    const next = applyChange(previous, change);
+    states.push(next);
+    changes.push({version: next.version, digest: next.digest, change});
+  }
+  return {states, changes};
+});
+
+/** Moves the oracle's tip and installs the version if it is valid. */
+function moveTip(model: Model, version: number): void {
+  const state = model.history.states[version] ?? EMPTY_STATE;
+  model.tipVersion = version;
+  if (validateState(state).length === 0) model.installedVersion = version;
+}
+
+/** What must hold after every step, whatever was offered. */
+function checkAgainstModel(model: Model, replica: ConfigReplica): void {
+  const installed = replica.getInstalled();
+  expect(installed.version).to.equal(model.installedVersion);
+  expect(replica.getTip().version).to.equal(model.tipVersion);
+  expect(validateState(installed)).to.deep.equal([]);
+  const accepted = model.history.states[installed.version];
+  expect(installed.digest).to.equal(accepted?.digest);
+  const since = replica.getChangesSince(installed.version);
+  if (since) {
+    expect(since.length).to.equal(model.tipVersion - installed.version);
+  }
+}
+
+class OfferChanges implements fc.Command<Model, ConfigReplica> {
+  constructor(
+    private readonly from: number,
+    private readonly count: number,
+  ) {}
+
+  check(): boolean {
+    return true;
+  }
+
+  run(model: Model, replica: ConfigReplica): void {
+    const start = this.from % (model.history.changes.length + 1);
+    const offered = model.history.changes.slice(start, start + this.count);
+    replica.offerChanges(offered);
+    for (const {version} of offered) {
+      if (version === model.tipVersion + 1) moveTip(model, version);
+    }
+    checkAgainstModel(model, replica);
+  }
+
+  toString(): string {
+    return `offerChanges(${this.from}, ${this.count})`;
+  }
+}
+
+class OfferSnapshot implements fc.Command<Model, ConfigReplica> {
+  constructor(private readonly index: number) {}
+
+  check(): boolean {
+    return true;
+  }
+
+  run(model: Model, replica: ConfigReplica): void {
+    const {states} = model.history;
+    const state = states[this.index % states.length] ?? EMPTY_STATE;
+    const {version, digest, records} = state;
+    replica.offerSnapshot({version, digest, records: [...records.values()]});
+    if (version > model.tipVersion) moveTip(model, version);
+    checkAgainstModel(model, replica);
+  }
+
+  toString(): string {
+    return `offerSnapshot(${this.index})`;
+  }
+}
+
+class OfferCorrupt implements fc.Command<Model, ConfigReplica> {
+  constructor(private readonly index: number) {}
+
+  check(): boolean {
+    return true;
+  }
+
+  run(model: Model, replica: ConfigReplica): void {
+    const {changes} = model.history;
+    const change = changes[this.index % changes.length];
+    if (!change) return;
+    const tip = replica.getTip();
+    const digest = brandId<Digest>('corrupt');
+    const outcome = replica.offerChanges([{...change, digest}]);
+    expect(outcome.kind).not.to.equal('advanced');
+    expect(replica.getTip()).to.deep.equal(tip);
+    checkAgainstModel(model, replica);
+  }
+
+  toString(): string {
+    return `offerCorrupt(${this.index})`;
+  }
+}
+
+describe('ConfigReplica', () => {
+  it('never goes back and installs versions whole, whatever is offered', () => {
+    const commands = fc.commands<Model, ConfigReplica>(
+      [
+        fc.tuple(fc.nat(12), fc.nat(12)).map(args => new OfferChanges(...args)),
+        fc.nat(12).map(index => new OfferSnapshot(index)),
+        fc.nat(12).map(index => new OfferCorrupt(index)),
+      ],
+      {maxCommands: 30},
+    );
+    fc.assert(
+      fc.property(HISTORIES, commands, (history, run) => {
+        fc.modelRun(
+          () => ({
+            model: {history, tipVersion: 0, installedVersion: 0},
+            real: new ConfigReplica(),
+          }),
+          run,
+        );
+      }),
+      {seed: SEED, numRuns: RUN_COUNT},
+    );
+  });
+
+  it('reaches a good version that builds on a bad one in one step', () => {
+    const replica = new ConfigReplica();
+    const bad = newChange('a', 0, [DATA_CENTRE, newService(1, 1)]);
+    const badState = applyChange(EMPTY_STATE, bad);
+    const good = newChange('b', 1, [newOwner(1)]);
+    const goodState = applyChange(badState, good);
+    replica.offerChanges([{...badState, change: bad}]);
+    expect(replica.getInstalled().version).to.equal(0);
+    expect(replica.getSkipped()?.version).to.equal(1);
+    replica.offerChanges([{...goodState, change: good}]);
+    expect(replica.getInstalled().version).to.equal(2);
+    expect(replica.getSkipped()).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/configuration_log.ts
@@ -0,0 +1,205 @@
+/** Reads the accepted configuration from the store. */
+
+import type {
+  Change,
+  ConfigurationState,
+  InventoryRecord,
+} from '@cassiaknot/inventory';
+import type {VersionedChange} from '@cassiaknot/peer-protocol';
+import type {KeyValueStore, StoreError} from '@cassiaknot/platform';
+import {ABSENT_REVISION} from '@cassiaknot/platform';
+import type {Result} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
+import type {OfferedSnapshot} from './config_replica.js';
+import {ConfigReplica} from './config_replica.js';
+import type {
+  AcceptedChange,
+  ConfigurationHead,
+  SnapshotReference,
+} from './configuration_head.js';
+import {
+  EMPTY_HEAD,
+  HEAD_KEY,
+  getChangeKey,
+  getSnapshotPartKey,
+  parseChange,
+  parseHead,
+  parseSnapshotPart,
+} from './configuration_head.js';
+
+/** The store holds something that does not fit the head. */
+export interface CorruptLogError {
+  readonly kind: 'corrupt-log';
+  readonly message: string;
+}
+
+/** Why the configuration could not be read. */
+export type LogError =
+  {readonly kind: 'store'; readonly error: StoreError} | CorruptLogError;
+
+/** A head with the store revision at which it was read. */
+export interface HeadReading {
+  readonly head: ConfigurationHead;
+  readonly revision: number;
+}
+
+/** Changes to apply after an optional snapshot. */
+export interface CatchUp {
+  readonly snapshot: OfferedSnapshot | undefined;
+  readonly changes: readonly VersionedChange[];
+}
+
+/** Read access to the configuration in the store. */
+export class ConfigurationLog {
+  constructor(private readonly store: KeyValueStore) {}
+
+  /** Reads the head; a store without one is at version 0. */
+  async readHead(): Promise<Result<HeadReading, LogError>> {
+    const answer = await this.store.get(HEAD_KEY);
+    if (answer.isErr()) return storeFailed(answer.error);
+    const stored = answer.value;
+    if (!stored) return Ok({head: EMPTY_HEAD, revision: ABSENT_REVISION});
+    return parseHeadReading(stored.value, stored.revision);
+  }
+
+  /** Waits for a head newer than a revision; `undefined` after the limit. */
+  async waitForHead(
+    afterRevision: number,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<HeadReading | undefined, LogError>> {
+    const request = {key: HEAD_KEY, afterRevision, timeoutMs, signal};
+    const answer = await this.store.waitForChange(request);
+    if (answer.isErr()) return storeFailed(answer.error);
+    const change = answer.value;
+    if (!change) return Ok(undefined);
+    return parseHeadReading(change.value, change.revision);
+  }
+
+  /**
+   * Reads what leads from a version to the head: the changes, or a newer
+   * snapshot where they are not all listed or `prefersSnapshot` is set.
+   */
+  async readCatchUp(
+    head: ConfigurationHead,
+    sinceVersion: number,
+    prefersSnapshot = false,
+  ): Promise<Result<CatchUp, LogError>> {
+    const missing = listChangesAfter(head, sinceVersion);
+    const hasNewerSnapshot = (head.snapshot?.version ?? 0) > sinceVersion;
+    if (missing && !(prefersSnapshot && hasNewerSnapshot)) {
+      const changes = await this.readChanges(head, missing);
+      return changes.map(list => ({snapshot: undefined, changes: list}));
+    }
+    if (!head.snapshot) return corrupt('head lists neither way to its version');
+    const snapshot = await this.readSnapshot(head.snapshot);
+    if (snapshot.isErr()) return Err(snapshot.error);
+    const after = listChangesAfter(head, head.snapshot.version) ?? [];
+    const changes = await this.readChanges(head, after);
+    return changes.map(list => ({snapshot: snapshot.value, changes: list}));
+  }
+
+  /** Reads the whole state of a head. */
+  async readState(
+    head: ConfigurationHead,
+  ): Promise<Result<ConfigurationState, LogError>> {
+    const replica = new ConfigReplica();
+    if (head.version === 0) return Ok(replica.getInstalled());
+    const catchUp = await this.readCatchUp(head, 0);
+    if (catchUp.isErr()) return Err(catchUp.error);
+    if (catchUp.value.snapshot) replica.offerSnapshot(catchUp.value.snapshot);
+    replica.offerChanges(catchUp.value.changes);
+    const state = replica.getInstalled();
+    if (state.version === head.version && state.digest === head.digest) {
+      return Ok(state);
+    }
+    return corrupt(`version ${head.version} can't be rebuilt`);
+  }
+
+  /** Reads the changes accepted after a version, if the head lists them. */
+  async readChangesAfter(
+    head: ConfigurationHead,
+    version: number,
+  ): Promise<Result<readonly VersionedChange[] | undefined, LogError>> {
+    const missing = listChangesAfter(head, version);
+    return missing ? this.readChanges(head, missing) : Ok(undefined);
+  }
+
+  private async readChanges(
+    head: ConfigurationHead,
+    accepted: readonly AcceptedChange[],
+  ): Promise<Result<readonly VersionedChange[], LogError>> {
+    const changes: VersionedChange[] = [];
+    for (const entry of accepted) {
+      const change = await this.readChange(head, entry);
+      if (change.isErr()) return Err(change.error);
+      const {version, digest} = entry;
+      changes.push({version, digest, change: change.value});
+    }
+    return Ok(changes);
+  }
+
+  private async readChange(
+    head: ConfigurationHead,
+    entry: AcceptedChange,
+  ): Promise<Result<Change, LogError>> {
+    const inline = head.inlineChange;
+    if (inline?.changeId === entry.changeId) return Ok(inline);
+    const answer = await this.store.get(getChangeKey(entry.changeId));
+    if (answer.isErr()) return storeFailed(answer.error);
+    if (!answer.value) return corrupt(`change ${entry.changeId} is missing`);
+    const change = parseChange(answer.value.value);
+    return change.isOk() ? Ok(change.value) : corrupt(change.error);
+  }
+
+  private async readSnapshot(
+    reference: SnapshotReference,
+  ): Promise<Result<OfferedSnapshot, LogError>> {
+    const records: InventoryRecord[] = [];
+    for (let part = 0; part < reference.partCount; part += 1) {
+      const key = getSnapshotPartKey(reference.snapshotId, part);
+      const answer = await this.store.get(key);
+      if (answer.isErr()) return storeFailed(answer.error);
+      if (!answer.value) return corrupt(`${key} is missing`);
+      const parsed = parseSnapshotPart(answer.value.value);
+      if (parsed.isErr()) return corrupt(parsed.error);
+      records.push(...parsed.value);
+    }
+    const {version, digest} = reference;
+    return Ok({version, digest, records});
+  }
+}
+
+/** Wraps a failed store call. */
+export function storeFailed(error: StoreError): Err<LogError> {
+  return Err({kind: 'store', error});
+}
+
+/** Describes a log error in one line. */
+export function describeLogError(error: LogError): string {
+  if (error.kind === 'corrupt-log') return `corrupt log: ${error.message}`;
+  return `store ${error.error.kind}: ${error.error.message}`;
+}
+
+function corrupt(message: string): Err<LogError> {
+  return Err({kind: 'corrupt-log', message});
+}
+
+function parseHeadReading(
+  text: string,
+  revision: number,
+): Result<HeadReading, LogError> {
+  const head = parseHead(text);
+  if (head.isErr()) return corrupt(head.error);
+  return Ok({head: head.value, revision});
+}
+
+function listChangesAfter(
+  head: ConfigurationHead,
+  version: number,
+): readonly AcceptedChange[] | undefined {
+  if (version >= head.version) return [];
+  const first = head.history[0];
+  if (!first || first.version > version + 1) return undefined;
+  return head.history.filter(entry => entry.version > version);
+}
--- /dev/null
+++ b/packages/coordination/src/coordinator_options.ts
@@ -0,0 +1,136 @@
+/** Settings and collaborators of a {@link Coordinator}. */
+
+import type {DataCentreId, InstanceId} from '@cassiaknot/inventory';
+import type {
+  GateAddress,
+  PeerAddress,
+  PeerTransport,
+} from '@cassiaknot/peer-protocol';
+import type {KeyValueStore, TokenBucketOptions} from '@cassiaknot/platform';
+import type {RandomSource} from './random.js';
+
+/** Who this process is. */
+export interface MemberIdentity {
+  readonly instanceId: InstanceId;
+  readonly dataCentreId: DataCentreId;
+  readonly peerAddress: PeerAddress;
+  readonly gateAddress: GateAddress;
+}
+
+/** Shape of the overlay. */
+export interface OverlayOptions {
+  /** Links that each daemon dials within its data centre. */
+  readonly linksPerDaemon: number;
+  /** Daemons per data centre that watch the store. */
+  readonly readersPerDataCentre: number;
+  /** Daemons per data centre that keep a seed key in the store. */
+  readonly seedsPerDataCentre: number;
+  /** Peers to dial when the store can't name any. */
+  readonly fallbackSeeds: readonly PeerAddress[];
+  /** Whether changes are taken from peers at all. */
+  readonly learnsFromPeers: boolean;
+  readonly joinAdmission: TokenBucketOptions;
+}
+
+/** Periods and time limits of the control plane. */
+export interface TimingOptions {
+  readonly heartbeatMs: number;
+  /** Silence after which a link is taken for dead. */
+  readonly linkSilenceMs: number;
+  /** Time without any link to a watched member before it is suspected. */
+  readonly suspectAfterMs: number;
+  /** Time a suspected member has to refute. */
+  readonly buryAfterMs: number;
+  /** Time a daemon that lost most of its links suspects nobody. */
+  readonly selfDoubtMs: number;
+  /** Time for which a dead member is redialled. */
+  readonly redialDeadMs: number;
+  /** Time a peer has to send the changes it was asked for. */
+  readonly fetchTimeoutMs: number;
+  /** Time limit of one watch on the store. */
+  readonly watchTimeoutMs: number;
+  /** Time to wait for several sources before serving on one. */
+  readonly joinTimeoutMs: number;
+  /** Random delay before the first call to the store. */
+  readonly startJitterMs: number;
+  readonly seedTtlMs: number;
+  /** Period at which readers list the seeds of all data centres. */
+  readonly seedListMs: number;
+  /** Time a daemon holds requests while it verifies itself after a pause. */
+  readonly verifyTimeoutMs: number;
+  /** Delay over which member news is gathered into one message. */
+  readonly gossipDelayMs: number;
+}
+
+/** Overlay of the size that the project is built for. */
+export const DEFAULT_OVERLAY: OverlayOptions = {
+  linksPerDaemon: 2,
+  readersPerDataCentre: 2,
+  seedsPerDataCentre: 3,
+  fallbackSeeds: [],
+  learnsFromPeers: true,
+  joinAdmission: {ratePerSecond: 50, burst: 50},
+};
+
+/** Timing of the size that the project is built for. */
+export const DEFAULT_TIMING: TimingOptions = {
+  heartbeatMs: 1_000,
+  linkSilenceMs: 3_500,
+  suspectAfterMs: 2_000,
+  buryAfterMs: 3_000,
+  selfDoubtMs: 10_000,
+  redialDeadMs: 600_000,
+  fetchTimeoutMs: 400,
+  watchTimeoutMs: 30_000,
+  joinTimeoutMs: 5_000,
+  startJitterMs: 1_000,
+  seedTtlMs: 30_000,
+  seedListMs: 30_000,
+  verifyTimeoutMs: 1_000,
+  gossipDelayMs: 50,
+};
+
+/** Severity of a log line. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Receives what happens, for logs and counters. */
+export interface CoordinatorObserver {
+  /** Part that speaks, then a short sentence. */
+  log(level: LogLevel, part: string, message: string): void;
+  /** Counts an event of the control plane. */
+  count(event: CoordinationEvent): void;
+}
+
+/** Events that are counted. */
+export type CoordinationEvent =
+  | 'link-opened'
+  | 'link-lost'
+  | 'link-silent'
+  | 'join-refused'
+  | 'fetch-sent'
+  | 'fetch-timeout'
+  | 'version-installed'
+  | 'version-skipped'
+  | 'digest-mismatch'
+  | 'store-read-failed'
+  | 'member-suspected'
+  | 'member-buried'
+  | 'suspicion-refuted'
+  | 'self-doubt'
+  | 'members-repaired'
+  | 'pause-noticed'
+  | 'pause-verified'
+  | 'pause-unverified';
+
+/** Everything a coordinator is built from. */
+export interface CoordinatorOptions {
+  readonly identity: MemberIdentity;
+  readonly overlay: OverlayOptions;
+  readonly timing: TimingOptions;
+  readonly transport: PeerTransport;
+  readonly store: KeyValueStore;
+  readonly random: RandomSource;
+  readonly observer: CoordinatorObserver;
+  /** Called when an actor fails: a broken invariant. */
+  readonly onFatal: (error: Error) => void;
+}
--- /dev/null
+++ b/packages/coordination/src/overlay_plan.ts
@@ -0,0 +1,107 @@
+/** Decides from the membership alone whom a daemon links to and watches. */
+
+import type {DataCentreId, InstanceId} from '@cassiaknot/inventory';
+import type {MemberRecord} from '@cassiaknot/peer-protocol';
+import type {OverlayOptions} from './coordinator_options.js';
+import type {MembershipView} from './membership_view.js';
+import {rankByRendezvous} from './rendezvous.js';
+
+/** Links, duties and roles of one daemon. */
+export interface OverlayPlan {
+  /** Peers of the own data centre that this daemon dials. */
+  readonly neighbours: readonly InstanceId[];
+  /** Members that dial this daemon and that it watches in turn. */
+  readonly watched: readonly InstanceId[];
+  readonly isReader: boolean;
+  readonly isSeed: boolean;
+  /** Candidates to link to in each other data centre, best first. */
+  readonly remoteCandidates: ReadonlyMap<DataCentreId, readonly InstanceId[]>;
+}
+
+/** The member that plans and the shape it plans for. */
+export interface OverlayPlanRequest {
+  readonly self: InstanceId;
+  readonly dataCentreId: DataCentreId;
+  readonly view: MembershipView;
+  readonly overlay: OverlayOptions;
+}
+
+const MIN_REMOTE_CANDIDATES = 4;
+
+/** Computes the plan; all daemons with the same view agree on all plans. */
+export function planOverlay(request: OverlayPlanRequest): OverlayPlan {
+  const {self, dataCentreId, view, overlay} = request;
+  const local = getLiveIds(view, dataCentreId);
+  const readers = rankByRendezvous(
+    'reader',
+    local,
+    overlay.readersPerDataCentre,
+  );
+  const seeds = rankByRendezvous('seed', local, overlay.seedsPerDataCentre);
+  const isReader = readers.includes(self);
+  return {
+    neighbours: getNeighbours(self, local, overlay.linksPerDaemon),
+    watched: findWatched(self, local, overlay.linksPerDaemon),
+    isReader,
+    isSeed: seeds.includes(self),
+    remoteCandidates: isReader
+      ? findRemoteCandidates(request, readers.indexOf(self))
+      : new Map(),
+  };
+}
+
+/** Returns the peers that a member dials. */
+export function getNeighbours(
+  member: InstanceId,
+  local: readonly InstanceId[],
+  count: number,
+): InstanceId[] {
+  const others = local.filter(id => id !== member);
+  return rankByRendezvous(`neighbour/${member}`, others, count);
+}
+
+function findWatched(
+  self: InstanceId,
+  local: readonly InstanceId[],
+  count: number,
+): InstanceId[] {
+  const watched: InstanceId[] = [];
+  for (const member of local) {
+    if (member === self) continue;
+    if (getNeighbours(member, local, count).includes(self)) {
+      watched.push(member);
+    }
+  }
+  return watched;
+}
+
+function findRemoteCandidates(
+  request: OverlayPlanRequest,
+  ownRank: number,
+): Map<DataCentreId, readonly InstanceId[]> {
+  const {dataCentreId, view, overlay} = request;
+  const count = Math.max(overlay.readersPerDataCentre, MIN_REMOTE_CANDIDATES);
+  const candidates = new Map<DataCentreId, readonly InstanceId[]>();
+  for (const remote of view.liveByDataCentre.keys()) {
+    if (remote === dataCentreId) continue;
+    const ids = getLiveIds(view, remote);
+    const ranked = rankByRendezvous('reader', ids, count);
+    candidates.set(remote, rotate(ranked, ownRank));
+  }
+  return candidates;
+}
+
+function getLiveIds(
+  view: MembershipView,
+  dataCentreId: DataCentreId,
+): InstanceId[] {
+  const members: readonly MemberRecord[] =
+    view.liveByDataCentre.get(dataCentreId) ?? [];
+  return members.map(record => record.instanceId);
+}
+
+function rotate<T>(items: readonly T[], offset: number): T[] {
+  if (items.length === 0) return [];
+  const start = offset % items.length;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
--- /dev/null
+++ b/packages/coordination/src/snapshot_writer.ts
@@ -0,0 +1,78 @@
+/** Writes snapshots to the store and deletes what they supersede. */
+
+import type {
+  ChangeId,
+  ConfigurationState,
+  InventoryRecord,
+} from '@cassiaknot/inventory';
+import type {KeyValueStore} from '@cassiaknot/platform';
+import type {Result} from 'ts-results-es';
+import {Ok} from 'ts-results-es';
+import type {
+  ConfigurationHead,
+  SnapshotReference,
+} from './configuration_head.js';
+import {getChangeKey, getSnapshotPartKey} from './configuration_head.js';
+import type {LogError} from './configuration_log.js';
+import {storeFailed} from './configuration_log.js';
+
+const MAX_PART_CHARS = 400_000;
+
+/**
+ * Writes a state in parts. The id of the change that made the state keeps
+ * racing writers of the same version apart.
+ */
+export async function writeSnapshot(
+  store: KeyValueStore,
+  state: ConfigurationState,
+  changeId: ChangeId,
+): Promise<Result<SnapshotReference, LogError>> {
+  const snapshotId = `${state.version}-${changeId}`;
+  const parts = splitRecords([...state.records.values()]);
+  for (const [part, value] of parts.entries()) {
+    const key = getSnapshotPartKey(snapshotId, part);
+    const answer = await store.put(key, value);
+    if (answer.isErr()) return storeFailed(answer.error);
+  }
+  const {version, digest} = state;
+  return Ok({version, digest, snapshotId, partCount: parts.length});
+}
+
+/**
+ * Deletes the changes and the snapshot that a new head no longer names. A
+ * failure leaves orphans, which nothing reads.
+ */
+export async function collectSuperseded(
+  store: KeyValueStore,
+  previous: ConfigurationHead,
+  next: ConfigurationHead,
+): Promise<void> {
+  const firstKeptVersion = next.history[0]?.version ?? 0;
+  for (const entry of previous.history) {
+    if (entry.version >= firstKeptVersion) break;
+    await store.delete(getChangeKey(entry.changeId));
+  }
+  const old = previous.snapshot;
+  if (!old || old.snapshotId === next.snapshot?.snapshotId) return;
+  for (let part = 0; part < old.partCount; part += 1) {
+    await store.delete(getSnapshotPartKey(old.snapshotId, part));
+  }
+}
+
+function splitRecords(records: readonly InventoryRecord[]): string[] {
+  const parts: string[] = [];
+  let current: string[] = [];
+  let size = 0;
+  for (const record of records) {
+    const text = JSON.stringify(record);
+    if (size > 0 && size + text.length > MAX_PART_CHARS) {
+      parts.push(`[${current.join(',')}]`);
+      current = [];
+      size = 0;
+    }
+    current.push(text);
+    size += text.length + 1;
+  }
+  parts.push(`[${current.join(',')}]`);
+  return parts;
+}
--- /dev/null
+++ b/packages/daemon/src/control_meter.ts
@@ -0,0 +1,117 @@
+/** Counters of the control plane. */
+
+import type {CoordinationEvent} from '@cassiaknot/coordination';
+import type {TransportMeter} from '@cassiaknot/peer-protocol';
+import type {PeerMessage} from '@cassiaknot/peer-protocol';
+import {Counter, Gauge} from 'prom-client';
+import type {Registry} from 'prom-client';
+
+/** Gauges that are read when the metrics are asked for. */
+export interface ControlGauges {
+  getVersion(): number;
+  getLiveMemberCount(): number;
+  getWaitingCount(): number;
+  getRunningCount(): number;
+}
+
+/** Counts control traffic and events. */
+export class ControlMeter implements TransportMeter {
+  private readonly events;
+  private readonly bytes;
+  private readonly messages;
+  private readonly storeRefusals;
+  private readonly targetEnds;
+
+  constructor(private readonly registry: Registry) {
+    const registers = [registry];
+    this.events = new Counter({
+      name: 'cassiaknot_control_events_total',
+      help: 'Events of the control plane',
+      labelNames: ['event'],
+      registers,
+    });
+    this.bytes = new Counter({
+      name: 'cassiaknot_peer_bytes_total',
+      help: 'Bytes of messages between daemons',
+      labelNames: ['direction', 'kind'],
+      registers,
+    });
+    this.messages = new Counter({
+      name: 'cassiaknot_peer_messages_total',
+      help: 'Messages between daemons',
+      labelNames: ['direction', 'kind'],
+      registers,
+    });
+    this.storeRefusals = new Counter({
+      name: 'cassiaknot_store_calls_refused_total',
+      help: 'Calls to the store that the own limit refused',
+      labelNames: ['user'],
+      registers,
+    });
+    this.targetEnds = new Counter({
+      name: 'cassiaknot_target_ends_total',
+      help: 'Ends of the target beside this daemon',
+      labelNames: ['reason'],
+      registers,
+    });
+  }
+
+  onSent(kind: PeerMessage['kind'], bytes: number): void {
+    this.countMessage('sent', kind, bytes);
+  }
+
+  onReceived(kind: PeerMessage['kind'], bytes: number): void {
+    this.countMessage('received', kind, bytes);
+  }
+
+  /** Counts an event of the control plane. */
+  countEvent(event: CoordinationEvent): void {
+    this.events.inc({event});
+  }
+
+  /** Counts a call that the own limit refused. */
+  countStoreRefusal(user: 'coordination' | 'claims'): void {
+    this.storeRefusals.inc({user});
+  }
+
+  /** Counts the end of the target. */
+  countTargetEnd(reason: string): void {
+    this.targetEnds.inc({reason});
+  }
+
+  /** Registers the gauges. */
+  registerGauges(gauges: ControlGauges): void {
+    this.registerGauge('cassiaknot_version', 'Version in force', () =>
+      gauges.getVersion(),
+    );
+    this.registerGauge('cassiaknot_live_members', 'Live members known', () =>
+      gauges.getLiveMemberCount(),
+    );
+    this.registerGauge('cassiaknot_gate_waiting', 'Requests waiting', () =>
+      gauges.getWaitingCount(),
+    );
+    this.registerGauge('cassiaknot_gate_running', 'Requests running', () =>
+      gauges.getRunningCount(),
+    );
+  }
+
+  private registerGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  private countMessage(
+    direction: 'sent' | 'received',
+    kind: PeerMessage['kind'],
+    bytes: number,
+  ): void {
+    this.bytes.inc({direction, kind}, bytes);
+    this.messages.inc({direction, kind});
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/wire_daemon.ts
@@ -0,0 +1,234 @@
+/** Builds a daemon from its settings: the one place that wires the parts. */
+
+import type {CoordinatorOptions} from '@cassiaknot/coordination';
+import {
+  Coordinator,
+  DEFAULT_OVERLAY,
+  DEFAULT_TIMING,
+  RetryBudget,
+  SeededRandom,
+} from '@cassiaknot/coordination';
+import type {ServiceId, ServiceRecord} from '@cassiaknot/inventory';
+import {brandId, makeRecordKey} from '@cassiaknot/inventory';
+import type {GateAddress, PeerAddress} from '@cassiaknot/peer-protocol';
+import {WebSocketTransport} from '@cassiaknot/peer-protocol';
+import {HttpStore, LimitedStore, TokenBucket} from '@cassiaknot/platform';
+import {
+  Balancer,
+  Entry,
+  Gate,
+  GateHealth,
+  HttpGateClient,
+  HttpServer,
+  HttpTargetClient,
+  ProxyMeter,
+  StoreClaimKeeper,
+  TargetRegistry,
+  newEntryHandler,
+  newGateHandler,
+} from '@cassiaknot/proxy';
+import {Registry} from 'prom-client';
+import {ControlMeter} from './control_meter.js';
+import {Daemon} from './daemon.js';
+import type {Log} from './logging.js';
+import {newOperatorHandler} from './operator_server.js';
+import type {Settings} from './settings.js';
+import {countLiveMembers} from './status.js';
+
+const MAX_SEED = 2 ** 31;
+
+/** Wires a daemon; nothing runs before its `start`. */
+export function wireDaemon(
+  settings: Settings,
+  log: Log,
+  onFatal: (error: Error) => void,
+): Daemon {
+  const registry = new Registry();
+  const controlMeter = new ControlMeter(registry);
+  const meter = new ProxyMeter(registry);
+  const store = newStore(settings);
+  const coordinator = new Coordinator(
+    newCoordinatorOptions(settings, store, controlMeter, log, onFatal),
+  );
+  const findService = (id: ServiceId) => findServiceRecord(coordinator, id);
+  const targets = newTargetRegistry(
+    settings,
+    coordinator,
+    controlMeter,
+    log,
+    findService,
+  );
+  const claimBucket = new TokenBucket(getClaimRate(settings, 1));
+  const claimStore = new LimitedStore(store, claimBucket, () =>
+    controlMeter.countStoreRefusal('claims'),
+  );
+  const gate = new Gate({
+    instanceId: settings.daemon.instance_id,
+    targets,
+    claims: new StoreClaimKeeper(claimStore, settings.claims.horizon_ms),
+    crashWatch: newCrashWatch(coordinator, log),
+    findService,
+  });
+  const gateClient = new HttpGateClient();
+  const entry = newEntry(settings, coordinator, gateClient, meter);
+  const sources = {
+    instanceId: settings.daemon.instance_id,
+    dataCentreId: settings.daemon.data_centre,
+    coordinator,
+    targets,
+    meter,
+  };
+  controlMeter.registerGauges({
+    getVersion: () => coordinator.getConfiguration().state.version,
+    getLiveMemberCount: () => countLiveMembers(coordinator),
+    getWaitingCount: () => targets.getSession()?.queue.getWaitingCount() ?? 0,
+    getRunningCount: () => targets.getSession()?.queue.getRunningCount() ?? 0,
+  });
+  return new Daemon({
+    settings,
+    log,
+    coordinator,
+    targets,
+    entryServer: new HttpServer(newEntryHandler(entry, meter)),
+    gateServer: new HttpServer(newGateHandler(gate, meter)),
+    operatorServer: new HttpServer(newOperatorHandler({sources, registry})),
+    adjustClaimRate: () => {
+      const memberCount = Math.max(1, countLiveMembers(coordinator));
+      claimBucket.configure(getClaimRate(settings, memberCount));
+    },
+    closeClients: async () => {
+      await gateClient.close();
+      await store.close();
+    },
+  });
+}
+
+function newStore(settings: Settings): HttpStore {
+  const {url, timeout_ms: timeoutMs} = settings.platform;
+  return new HttpStore({url, timeoutMs});
+}
+
+function newCoordinatorOptions(
+  settings: Settings,
+  store: HttpStore,
+  meter: ControlMeter,
+  log: Log,
+  onFatal: (error: Error) => void,
+): CoordinatorOptions {
+  const {daemon, overlay, platform, ports} = settings;
+  const bucket = new TokenBucket({
+    ratePerSecond: platform.calls_per_second,
+    burst: platform.call_burst,
+  });
+  const {joins_per_second: joinsPerSecond} = overlay;
+  return {
+    identity: {
+      instanceId: daemon.instance_id,
+      dataCentreId: daemon.data_centre,
+      peerAddress: brandId<PeerAddress>(`${daemon.address}:${ports.peer}`),
+      gateAddress: brandId<GateAddress>(`${daemon.address}:${ports.gate}`),
+    },
+    overlay: {
+      ...DEFAULT_OVERLAY,
+      linksPerDaemon: overlay.links,
+      readersPerDataCentre: overlay.readers_per_data_centre,
+      seedsPerDataCentre: overlay.seeds_per_data_centre,
+      fallbackSeeds: overlay.fallback_seeds,
+      learnsFromPeers: overlay.learns_from_peers,
+      joinAdmission: {ratePerSecond: joinsPerSecond, burst: joinsPerSecond},
+    },
+    timing: DEFAULT_TIMING,
+    transport: new WebSocketTransport(meter),
+    store: new LimitedStore(store, bucket, () =>
+      meter.countStoreRefusal('coordination'),
+    ),
+    random: new SeededRandom(getSeed(settings)),
+    observer: {
+      log: (level, part, message) => log.write(level, part, message),
+      count: event => meter.countEvent(event),
+    },
+    onFatal,
+  };
+}
+
+function newTargetRegistry(
+  settings: Settings,
+  coordinator: Coordinator,
+  meter: ControlMeter,
+  log: Log,
+  findService: (id: ServiceId) => ServiceRecord | undefined,
+): TargetRegistry {
+  return new TargetRegistry({
+    silenceMs: settings.target.silence_ms,
+    newClient: options => new HttpTargetClient(options),
+    findService,
+    onChange: announcement => {
+      if (!announcement) {
+        coordinator.setTarget(null);
+        return;
+      }
+      const {serviceId, slots, connections} = announcement;
+      coordinator.setTarget({serviceId, slots, connections});
+      log.write('info', 'target', `Serves ${serviceId} with ${slots} slots.`);
+    },
+    onEnd: (reason, waitingCount) => {
+      meter.countTargetEnd(reason);
+      const sentence = `Ended: ${reason}. Refused ${waitingCount} waiting.`;
+      log.write('warn', 'target', sentence);
+    },
+  });
+}
+
+function newCrashWatch(coordinator: Coordinator, log: Log) {
+  const quarantine = coordinator.getQuarantine();
+  return {
+    judge: quarantine.judge.bind(quarantine),
+    acquit: quarantine.acquit.bind(quarantine),
+    reportCrash: (...crash: Parameters<Coordinator['reportCrash']>) => {
+      const [serviceId, fingerprint] = crash;
+      const count = coordinator.reportCrash(...crash);
+      const sentence = `${serviceId} lost request ${fingerprint}: ${count}.`;
+      log.write('warn', 'quarantine', sentence);
+    },
+  };
+}
+
+function newEntry(
+  settings: Settings,
+  coordinator: Coordinator,
+  gates: HttpGateClient,
+  meter: ProxyMeter,
+): Entry {
+  const health = new GateHealth();
+  const random = new SeededRandom(getSeed(settings) + 1);
+  const {share, max_saved: maxSaved} = settings.retries;
+  return new Entry({
+    controlPlane: coordinator,
+    balancer: new Balancer(settings.daemon.data_centre, health, random),
+    gates,
+    health,
+    retryBudget: new RetryBudget({retriesPerRequest: share, maxSaved}),
+    meter,
+  });
+}
+
+function findServiceRecord(
+  coordinator: Coordinator,
+  id: ServiceId,
+): ServiceRecord | undefined {
+  const {records} = coordinator.getConfiguration().state;
+  const record = records.get(makeRecordKey('service', id));
+  return record?.kind === 'service' ? record : undefined;
+}
+
+/** Each daemon's share of the store calls that all claims may make. */
+function getClaimRate(settings: Settings, memberCount: number) {
+  const {fleet_calls_per_second: fleetRate} = settings.claims;
+  const ratePerSecond = fleetRate / memberCount;
+  return {ratePerSecond, burst: Math.max(10, ratePerSecond)};
+}
+
+function getSeed(settings: Settings): number {
+  const fresh = Math.floor(Math.random() * MAX_SEED);
+  return settings.daemon.random_seed ?? fresh;
+}
--- /dev/null
+++ b/packages/inventory/src/index.ts
@@ -0,0 +1,10 @@
+/** Records, states, changes and the INI form of the operators' inventory. */
+
+export * from './ids.js';
+export * from './records.js';
+export * from './digest.js';
+export * from './state.js';
+export * from './change.js';
+export * from './validate_state.js';
+export * from './route_table.js';
+export * from './parse_inventory.js';
--- /dev/null
+++ b/packages/inventory/src/validate_state.ts
@@ -0,0 +1,111 @@
+/**
+ * Checks that a state is complete: every reference in it names a record of the
+ * same state. Runs at acceptance and again on every daemon.
+ */
+
+import {MAX_RECORDS} from './constants.js';
+import type {RecordKey} from './ids.js';
+import type {InventoryRecord, RuleRecord, ServiceRecord} from './records.js';
+import {getRecordKey, makeRecordKey} from './records.js';
+import type {ConfigurationState} from './state.js';
+
+/** A record that refers to something its state does not hold. */
+export interface DanglingReference {
+  readonly kind: 'dangling-reference';
+  readonly recordKey: RecordKey;
+  readonly missingKey: RecordKey;
+}
+
+/** Two rules that match the same requests at the same priority. */
+export interface AmbiguousRule {
+  readonly kind: 'ambiguous-rule';
+  readonly recordKey: RecordKey;
+  readonly otherKey: RecordKey;
+}
+
+/** A state with more records than a daemon is built to hold. */
+export interface TooManyRecords {
+  readonly kind: 'too-many-records';
+  readonly recordCount: number;
+}
+
+/** One reason why a state must not be put in force. */
+export type ValidationProblem =
+  DanglingReference | AmbiguousRule | TooManyRecords;
+
+/** Returns every problem of a state; an empty list means it is valid. */
+export function validateState(state: ConfigurationState): ValidationProblem[] {
+  const problems: ValidationProblem[] = [];
+  if (state.records.size > MAX_RECORDS) {
+    problems.push({kind: 'too-many-records', recordCount: state.records.size});
+  }
+  const ruleByMatch = new Map<string, RecordKey>();
+  for (const record of state.records.values()) {
+    problems.push(...findDanglingReferences(state, record));
+    if (record.kind !== 'rule') continue;
+    const problem = claimRuleMatch(ruleByMatch, record);
+    if (problem) problems.push(problem);
+  }
+  return problems;
+}
+
+/** Describes a problem in one line for operators. */
+export function describeProblem(problem: ValidationProblem): string {
+  switch (problem.kind) {
+    case 'dangling-reference':
+      return `${problem.recordKey} refers to missing ${problem.missingKey}`;
+    case 'ambiguous-rule':
+      return `${problem.recordKey} matches the same requests as ${problem.otherKey}`;
+    case 'too-many-records':
+      return `the state has ${problem.recordCount} records`;
+  }
+}
+
+function findDanglingReferences(
+  state: ConfigurationState,
+  record: InventoryRecord,
+): DanglingReference[] {
+  const problems: DanglingReference[] = [];
+  for (const missingKey of getReferences(record)) {
+    if (state.records.has(missingKey)) continue;
+    const recordKey = getRecordKey(record);
+    problems.push({kind: 'dangling-reference', recordKey, missingKey});
+  }
+  return problems;
+}
+
+function getReferences(record: InventoryRecord): RecordKey[] {
+  switch (record.kind) {
+    case 'data-centre':
+    case 'owner':
+      return [];
+    case 'service':
+      return getServiceReferences(record);
+    case 'rule':
+      return [makeRecordKey('service', record.serviceId)];
+  }
+}
+
+function getServiceReferences(service: ServiceRecord): RecordKey[] {
+  const dataCentres = service.dataCentreIds.map(id =>
+    makeRecordKey('data-centre', id),
+  );
+  return [makeRecordKey('owner', service.ownerId), ...dataCentres];
+}
+
+function claimRuleMatch(
+  ruleByMatch: Map<string, RecordKey>,
+  rule: RuleRecord,
+): AmbiguousRule | undefined {
+  const match = JSON.stringify([
+    rule.priority,
+    rule.host,
+    rule.method,
+    rule.pathPrefix,
+  ]);
+  const recordKey = getRecordKey(rule);
+  const otherKey = ruleByMatch.get(match);
+  if (otherKey) return {kind: 'ambiguous-rule', recordKey, otherKey};
+  ruleByMatch.set(match, recordKey);
+  return undefined;
+}
--- /dev/null
+++ b/packages/peer-protocol/src/index.ts
@@ -0,0 +1,8 @@
+/** Messages between daemons, their codec and the links that carry them. */
+
+export * from './addresses.js';
+export * from './member_record.js';
+export * from './messages.js';
+export * from './codec.js';
+export * from './transport.js';
+export * from './web_socket_transport.js';
--- /dev/null
+++ b/packages/platform/src/http_store.ts
@@ -0,0 +1,264 @@
+/**
+ * Client of the platform's key-value service over the etcd v3 HTTP/JSON
+ * gateway.
+ */
+
+import {createInterface} from 'node:readline';
+import type {Result} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
+import {Agent, request} from 'undici';
+import type {z} from 'zod';
+import {
+  ETCD_ANY_SCHEMA,
+  ETCD_KEEP_ALIVE_SCHEMA,
+  ETCD_LEASE_SCHEMA,
+  ETCD_RANGE_SCHEMA,
+  ETCD_TXN_SCHEMA,
+  ETCD_WATCH_SCHEMA,
+  decodeBase64,
+  encodeBase64,
+  getRangeEnd,
+} from './etcd_messages.js';
+import type {ETCD_KEY_VALUE_SCHEMA} from './etcd_messages.js';
+import type {
+  CasOutcome,
+  CasRequest,
+  KeyValue,
+  KeyValueStore,
+  LeaseId,
+  StoreError,
+  StoreResult,
+  WatchRequest,
+} from './types.js';
+import {brandId} from '@cassiaknot/inventory';
+
+/** Where the store is and how long a call may take. */
+export interface HttpStoreOptions {
+  /** Base URL, without a trailing slash. */
+  readonly url: string;
+  readonly timeoutMs: number;
+}
+
+type CallKind = 'read' | 'write';
+
+const MS_PER_SECOND = 1_000;
+const MAX_CONNECTIONS = 8;
+const CERTAIN_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
+
+/** Speaks to the store over HTTP. */
+export class HttpStore implements KeyValueStore {
+  private readonly agent: Agent;
+
+  constructor(private readonly options: HttpStoreOptions) {
+    this.agent = new Agent({
+      connections: MAX_CONNECTIONS,
+      connect: {timeout: options.timeoutMs},
+      pipelining: 1,
+    });
+  }
+
+  async get(key: string): StoreResult<KeyValue | undefined> {
+    const body = {key: encodeBase64(key)};
+    const answer = await this.call('read', 'kv/range', body, ETCD_RANGE_SCHEMA);
+    return answer.map(range => toKeyValues(range.kvs)[0]);
+  }
+
+  async list(prefix: string, limit: number): StoreResult<readonly KeyValue[]> {
+    const body = {
+      key: encodeBase64(prefix),
+      range_end: getRangeEnd(prefix),
+      limit: String(limit),
+    };
+    const answer = await this.call('read', 'kv/range', body, ETCD_RANGE_SCHEMA);
+    return answer.map(range => toKeyValues(range.kvs));
+  }
+
+  async compareAndSwap(cas: CasRequest): StoreResult<CasOutcome> {
+    const key = encodeBase64(cas.key);
+    const put = {
+      key,
+      value: encodeBase64(cas.value),
+      ...(cas.leaseId === undefined ? {} : {lease: cas.leaseId}),
+    };
+    const body = {
+      compare: [
+        {
+          key,
+          target: 'MOD',
+          result: 'EQUAL',
+          mod_revision: String(cas.expectedRevision),
+        },
+      ],
+      success: [{request_put: put}],
+      failure: [{request_range: {key}}],
+    };
+    const answer = await this.call('write', 'kv/txn', body, ETCD_TXN_SCHEMA);
+    return answer.map(toCasOutcome);
+  }
+
+  async put(key: string, value: string, leaseId?: LeaseId): StoreResult<void> {
+    const body = {
+      key: encodeBase64(key),
+      value: encodeBase64(value),
+      ...(leaseId === undefined ? {} : {lease: leaseId}),
+    };
+    const answer = await this.call('write', 'kv/put', body, ETCD_ANY_SCHEMA);
+    return answer.map(() => undefined);
+  }
+
+  async delete(key: string): StoreResult<void> {
+    const body = {key: encodeBase64(key)};
+    const path = 'kv/deleterange';
+    const answer = await this.call('write', path, body, ETCD_ANY_SCHEMA);
+    return answer.map(() => undefined);
+  }
+
+  async grantLease(ttlMs: number): StoreResult<LeaseId> {
+    const ttlSeconds = Math.ceil(ttlMs / MS_PER_SECOND);
+    const body = {TTL: String(ttlSeconds)};
+    const path = 'lease/grant';
+    const answer = await this.call('write', path, body, ETCD_LEASE_SCHEMA);
+    return answer.map(lease => brandId<LeaseId>(lease.ID));
+  }
+
+  async keepLeaseAlive(leaseId: LeaseId): StoreResult<boolean> {
+    const body = {ID: leaseId};
+    const path = 'lease/keepalive';
+    const answer = await this.call('write', path, body, ETCD_KEEP_ALIVE_SCHEMA);
+    return answer.map(lease => lease.result.TTL > 0);
+  }
+
+  async revokeLease(leaseId: LeaseId): StoreResult<void> {
+    const body = {ID: leaseId};
+    const path = 'lease/revoke';
+    const answer = await this.call('write', path, body, ETCD_ANY_SCHEMA);
+    return answer.map(() => undefined);
+  }
+
+  async waitForChange(watch: WatchRequest): StoreResult<KeyValue | undefined> {
+    const timeLimit = AbortSignal.timeout(watch.timeoutMs);
+    const signal = watch.signal
+      ? AbortSignal.any([watch.signal, timeLimit])
+      : timeLimit;
+    try {
+      return await this.readWatchStream(watch, signal);
+    } catch (error) {
+      if (signal.aborted) return Ok(undefined);
+      return Err(toStoreError('read', error));
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async readWatchStream(
+    watch: WatchRequest,
+    signal: AbortSignal,
+  ): Promise<Result<KeyValue | undefined, StoreError>> {
+    const createRequest = {
+      key: encodeBase64(watch.key),
+      start_revision: String(watch.afterRevision + 1),
+    };
+    const answer = await request(`${this.options.url}/v3/watch`, {
+      method: 'POST',
+      body: JSON.stringify({create_request: createRequest}),
+      dispatcher: this.agent,
+      signal,
+      bodyTimeout: 0,
+      headersTimeout: this.options.timeoutMs,
+    });
+    const lines = createInterface({input: answer.body});
+    for await (const line of lines) {
+      const message = ETCD_WATCH_SCHEMA.safeParse(JSON.parse(line));
+      if (!message.success) return Err(rejected('unreadable watch message'));
+      if (message.data.result.canceled) return Err(rejected('watch cancelled'));
+      const change = toKeyValues(
+        message.data.result.events
+          .filter(event => event.type !== 'DELETE')
+          .map(event => event.kv),
+      ).at(-1);
+      if (change) return Ok(change);
+    }
+    return Err({kind: 'unavailable', message: 'watch stream ended'});
+  }
+
+  private async call<T>(
+    kind: CallKind,
+    path: string,
+    body: object,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, StoreError>> {
+    try {
+      const answer = await request(`${this.options.url}/v3/${path}`, {
+        method: 'POST',
+        body: JSON.stringify(body),
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(this.options.timeoutMs),
+      });
+      const text = await answer.body.text();
+      return this.readAnswer(kind, answer.statusCode, text, schema);
+    } catch (error) {
+      return Err(toStoreError(kind, error));
+    }
+  }
+
+  private readAnswer<T>(
+    kind: CallKind,
+    statusCode: number,
+    text: string,
+    schema: z.ZodType<T>,
+  ): Result<T, StoreError> {
+    if (statusCode >= 500) return Err(failed(kind, `status ${statusCode}`));
+    if (statusCode >= 400) return Err(rejected(`status ${statusCode}`));
+    const parsed = schema.safeParse(JSON.parse(text));
+    if (!parsed.success) return Err(failed(kind, 'unreadable answer'));
+    return Ok(parsed.data);
+  }
+}
+
+function toKeyValues(
+  kvs: ReadonlyArray<z.infer<typeof ETCD_KEY_VALUE_SCHEMA>>,
+): KeyValue[] {
+  return kvs.map(kv => ({
+    key: decodeBase64(kv.key),
+    value: decodeBase64(kv.value),
+    revision: kv.mod_revision,
+  }));
+}
+
+function toCasOutcome(txn: z.infer<typeof ETCD_TXN_SCHEMA>): CasOutcome {
+  if (txn.succeeded) {
+    return {kind: 'committed', revision: txn.header.revision};
+  }
+  const kvs = txn.responses[0]?.response_range?.kvs ?? [];
+  return {kind: 'conflict', current: toKeyValues(kvs)[0]};
+}
+
+function toStoreError(kind: CallKind, error: unknown): StoreError {
+  const message = error instanceof Error ? error.message : String(error);
+  const code = getErrorCode(error);
+  if (code !== undefined && CERTAIN_ERROR_CODES.has(code)) {
+    return {kind: 'unavailable', message: `${code}: ${message}`};
+  }
+  return failed(kind, message);
+}
+
+function getErrorCode(error: unknown): string | undefined {
+  if (!(error instanceof Error) || !('code' in error)) return undefined;
+  return typeof error.code === 'string' ? error.code : undefined;
+}
+
+function failed(kind: CallKind, message: string): StoreError {
+  return {kind: kind === 'write' ? 'ambiguous' : 'unavailable', message};
+}
+
+function rejected(message: string): StoreError {
+  return {kind: 'rejected', message};
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,8 @@
+/** The platform's key-value service: interface, clients and call limiter. */
+
+export * from './types.js';
+export * from './token_bucket.js';
+export * from './limited_store.js';
+export * from './in_memory_store.js';
+export * from './http_store.js';
+export {decodeBase64, encodeBase64} from './etcd_messages.js';
--- /dev/null
+++ b/packages/proxy/src/entry_server.ts
@@ -0,0 +1,89 @@
+/** HTTP face of the entry. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServiceRecord} from '@cassiaknot/inventory';
+import {readRequestBody} from './bodies.js';
+import {MAX_DEPTH, MAX_REQUEST_BYTES, MAX_TIMEOUT_MS} from './constants.js';
+import {Deadline} from './deadline.js';
+import type {Entry} from './entry.js';
+import {
+  DEPTH_HEADER,
+  RETRY_HEADER,
+  TIMEOUT_HEADER,
+  copyRequestHeaders,
+  readNumberHeader,
+} from './headers.js';
+import type {RequestHandler} from './http_server.js';
+import type {ProxyMeter} from './meter.js';
+import type {Outcome} from './outcome.js';
+import {notRun} from './outcome.js';
+import {writeOutcome} from './write_outcome.js';
+
+const US_PER_MS = 1_000;
+
+/** Makes the handler of the entry's port. */
+export function newEntryHandler(
+  entry: Entry,
+  meter: ProxyMeter,
+): RequestHandler {
+  return async (request, response) => {
+    const startedAtMs = performance.now();
+    const call = new EntryCall(request, response);
+    const outcome = await call.route(entry);
+    meter.countOutcome('entry', outcome);
+    if (outcome.kind === 'answered') {
+      const totalUs = (performance.now() - startedAtMs) * US_PER_MS;
+      meter.recordLatency(totalUs, outcome.targetTimeUs);
+    }
+    await writeOutcome(response, outcome);
+    call.finish();
+  };
+}
+
+/** One request at the entry's port. */
+class EntryCall {
+  private deadline: Deadline | undefined;
+  private isCallerGone = false;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+  ) {
+    response.once('close', () => {
+      if (response.writableFinished) return;
+      this.isCallerGone = true;
+      this.deadline?.cancel();
+    });
+  }
+
+  async route(entry: Entry): Promise<Outcome> {
+    const body = await readRequestBody(this.request, MAX_REQUEST_BYTES);
+    if (body.isErr()) return notRun(body.error);
+    const {headers, method = 'GET', rawHeaders, url = '/'} = this.request;
+    const [path = '/'] = url.split('?');
+    const [host = ''] = (headers.host ?? '').split(':');
+    return entry.handle({
+      route: {method, path, host},
+      path: url,
+      headers: copyRequestHeaders(rawHeaders),
+      body: body.value,
+      depth: readNumberHeader(headers[DEPTH_HEADER], 0, MAX_DEPTH) ?? 0,
+      isRetry: headers[RETRY_HEADER] !== undefined,
+      startDeadline: service => this.startDeadline(service),
+    });
+  }
+
+  finish(): void {
+    this.deadline?.dispose();
+  }
+
+  private startDeadline(service: ServiceRecord): Deadline {
+    const asked = this.request.headers[TIMEOUT_HEADER];
+    const askedMs = readNumberHeader(asked, 1, MAX_TIMEOUT_MS);
+    const timeoutMs = Math.min(askedMs ?? service.timeoutMs, service.timeoutMs);
+    const deadline = new Deadline(timeoutMs);
+    this.deadline = deadline;
+    if (this.isCallerGone) deadline.cancel();
+    return deadline;
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/gate_client.ts
@@ -0,0 +1,179 @@
+/** Sends requests from an entry to the gates of other daemons. */
+
+import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
+import type {GateAddress} from '@cassiaknot/peer-protocol';
+import {Agent} from 'undici';
+import {holdBody} from './bodies.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  GATE_GRACE_MS,
+  MAX_HELD_ANSWER_BYTES,
+} from './constants.js';
+import type {Deadline} from './deadline.js';
+import {
+  DEPTH_HEADER,
+  INSTANCE_HEADER,
+  LOAD_HEADER,
+  OUTCOME_HEADER,
+  REASON_HEADER,
+  RETRY_HEADER,
+  SERVICE_HEADER,
+  SUSPECT_HEADER,
+  TARGET_TIME_HEADER,
+  TIMEOUT_HEADER,
+  readNumberHeader,
+} from './headers.js';
+import type {HeaderFields} from './headers.js';
+import {isCertainConnectError} from './network_errors.js';
+import type {Answer, Outcome} from './outcome.js';
+import {isNotRunReason, isUnknownReason, notRun, unknown} from './outcome.js';
+
+/** One attempt at one gate. */
+export interface GateCall {
+  readonly instanceId: InstanceId;
+  readonly address: GateAddress;
+  readonly serviceId: ServiceId;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** Alternating names and values that are passed on. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly depth: number;
+  /** Whether this is a retry, here or further up. */
+  readonly isRetry: boolean;
+  readonly isSuspect: boolean;
+  readonly deadline: Deadline;
+}
+
+/** An outcome together with the load that the gate reported. */
+export interface GateReply {
+  readonly outcome: Outcome;
+  /** Requests running and waiting; undefined if the gate did not answer. */
+  readonly load: number | undefined;
+}
+
+/** Sends requests to gates. */
+export interface GateClient {
+  call(call: GateCall): Promise<GateReply>;
+}
+
+const CONNECTIONS_PER_GATE = 64;
+const IDLE_TIMEOUT_MS = 10_000;
+const MAX_LOAD = 1_000_000;
+const MAX_TARGET_US = 3_600_000_000;
+
+/** Idle time after which a gate closes a connection; entries close earlier. */
+export const GATE_IDLE_TIMEOUT_MS = 60_000;
+
+/** Speaks HTTP to gates. */
+export class HttpGateClient implements GateClient {
+  private readonly agent = new Agent({
+    connections: CONNECTIONS_PER_GATE,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  async call(call: GateCall): Promise<GateReply> {
+    const remainingMs = call.deadline.getRemainingMs();
+    if (remainingMs <= 0) return {outcome: notRun('deadline'), load: undefined};
+    const timeLimit = new AbortController();
+    const timer = setTimeout(
+      () => timeLimit.abort(),
+      remainingMs + GATE_GRACE_MS,
+    );
+    const cancel = () => {
+      if (call.deadline.getAbortReason() === 'cancelled') timeLimit.abort();
+    };
+    call.deadline.signal.addEventListener('abort', cancel);
+    try {
+      return await this.exchange(call, remainingMs, timeLimit.signal);
+    } catch (error) {
+      const outcome = classifyFailure(error, call, timeLimit.signal.aborted);
+      return {outcome, load: undefined};
+    } finally {
+      clearTimeout(timer);
+      call.deadline.signal.removeEventListener('abort', cancel);
+    }
+  }
+
+  /** Ends all connections. */
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private async exchange(
+    call: GateCall,
+    remainingMs: number,
+    signal: AbortSignal,
+  ): Promise<GateReply> {
+    const response = await this.agent.request({
+      origin: `http://${call.address}`,
+      method: call.method,
+      path: call.path,
+      headers: newGateHeaders(call, remainingMs),
+      body: call.body.byteLength > 0 ? call.body : null,
+      signal,
+    });
+    const held = await holdBody(response.body, MAX_HELD_ANSWER_BYTES);
+    const {statusCode, headers} = response;
+    const outcome = readOutcome({statusCode, headers, ...held});
+    return {outcome, load: readNumberHeader(headers[LOAD_HEADER], 0, MAX_LOAD)};
+  }
+}
+
+function newGateHeaders(call: GateCall, remainingMs: number): string[] {
+  const headers = [
+    ...call.headers,
+    INSTANCE_HEADER,
+    call.instanceId,
+    SERVICE_HEADER,
+    call.serviceId,
+    TIMEOUT_HEADER,
+    String(Math.ceil(remainingMs)),
+    DEPTH_HEADER,
+    String(call.depth),
+  ];
+  if (call.isRetry) headers.push(RETRY_HEADER, '1');
+  if (call.isSuspect) headers.push(SUSPECT_HEADER, '1');
+  return headers;
+}
+
+function readOutcome(answer: Answer): Outcome {
+  const {headers} = answer;
+  const reason = headers[REASON_HEADER];
+  switch (headers[OUTCOME_HEADER]) {
+    case 'answered':
+      return {
+        kind: 'answered',
+        answer,
+        targetTimeUs: readTargetTime(headers),
+      };
+    case 'not-run':
+      return isNotRunReason(reason) ? notRun(reason) : unknown('gate-lost');
+    case 'unknown':
+      return unknown(isUnknownReason(reason) ? reason : 'gate-lost');
+    default:
+      return unknown('gate-lost');
+  }
+}
+
+function readTargetTime(headers: HeaderFields): number {
+  return readNumberHeader(headers[TARGET_TIME_HEADER], 0, MAX_TARGET_US) ?? 0;
+}
+
+function classifyFailure(
+  error: unknown,
+  call: GateCall,
+  isTimeUp: boolean,
+): Outcome {
+  if (isCertainConnectError(error)) return notRun('connect-failed');
+  if (call.deadline.getAbortReason() === 'cancelled') {
+    return unknown('cancelled-late');
+  }
+  return unknown(isTimeUp ? 'gate-timeout' : 'gate-lost');
+}
--- /dev/null
+++ b/packages/test-support/src/inventories.ts
@@ -0,0 +1,26 @@
+/** Inventories for the demonstration, tests and benchmarks. */
+
+/** Two data centres of one region with the services of a small mesh. */
+export const SMALL_INVENTORY = `
+[data-centre.lautoka]
+region = viti-levu
+[data-centre.nadi]
+region = viti-levu
+[owner.casting]
+contact = casting team
+[service.catalogue]
+owner = casting
+data_centres = lautoka, nadi
+timeout_ms = 2000
+[service.orders]
+owner = casting
+data_centres = lautoka, nadi
+timeout_ms = 2000
+shed_statuses = 503
+[rule.catalogue]
+service = catalogue
+path_prefix = /catalogue
+[rule.orders]
+service = orders
+path_prefix = /orders
+`;
--- /dev/null
+++ b/packages/test-support/src/store_stand_in.ts
@@ -0,0 +1,246 @@
+/**
+ * Stand-in for the platform's key-value service: the used part of the etcd v3
+ * HTTP/JSON gateway over memory, with faults that tests switch on.
+ */
+
+import {once} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {brandId} from '@cassiaknot/inventory';
+import type {KeyValue, LeaseId} from '@cassiaknot/platform';
+import {InMemoryStore, decodeBase64, encodeBase64} from '@cassiaknot/platform';
+import {z} from 'zod';
+
+/**
+ * How the store misbehaves.
+ *
+ * - `down`: connections break before a call takes effect.
+ * - `lose-answers`: calls take effect, then connections break.
+ * - `slow`: calls wait before they take effect.
+ */
+export type StoreFault =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'down'}
+  | {readonly kind: 'lose-answers'}
+  | {readonly kind: 'slow'; readonly delayMs: number};
+
+const KEY_SCHEMA = z.object({key: z.string()});
+const RANGE_SCHEMA = z.object({
+  key: z.string(),
+  range_end: z.string().optional(),
+  limit: z.coerce.number().default(1_000),
+});
+const PUT_SCHEMA = z.object({
+  key: z.string(),
+  value: z.string(),
+  lease: z.string().optional(),
+});
+const TXN_SCHEMA = z.object({
+  compare: z
+    .array(z.object({key: z.string(), mod_revision: z.coerce.number()}))
+    .length(1),
+  success: z.array(z.object({request_put: PUT_SCHEMA})).length(1),
+});
+const LEASE_SCHEMA = z.object({ID: z.string()});
+const GRANT_SCHEMA = z.object({TTL: z.coerce.number()});
+const WATCH_SCHEMA = z.object({
+  create_request: z.object({
+    key: z.string(),
+    start_revision: z.coerce.number(),
+  }),
+});
+
+const MS_PER_SECOND = 1_000;
+const WATCH_LIMIT_MS = 3_600_000;
+const NO_FAULT: StoreFault = {kind: 'none'};
+
+/** One store on a loopback port. */
+export class StoreStandIn {
+  /** The data, for direct use by tests. */
+  readonly memory = new InMemoryStore();
+  private readonly server = createServer((request, response) => {
+    void this.handle(request, response);
+  });
+  private fault: StoreFault = NO_FAULT;
+  private callCount = 0;
+  private port = 0;
+
+  /** Starts to listen. */
+  async start(port = 0): Promise<void> {
+    this.server.listen(port, '127.0.0.1');
+    await once(this.server, 'listening');
+    this.port = (this.server.address() as AddressInfo).port;
+  }
+
+  /** Base URL for clients. */
+  getUrl(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  /** Calls received so far; a waiting watch counts as one. */
+  getCallCount(): number {
+    return this.callCount;
+  }
+
+  /** Switches a fault on or off; waiting watches break when it is `down`. */
+  setFault(fault: StoreFault): void {
+    this.fault = fault;
+    if (fault.kind === 'down') this.server.closeAllConnections();
+  }
+
+  /** Stops listening and breaks all connections. */
+  async stop(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+    await once(this.server, 'close');
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.callCount += 1;
+    const {fault} = this;
+    if (fault.kind === 'down') {
+      request.socket.destroy();
+      return;
+    }
+    const body = await readJson(request);
+    if (fault.kind === 'slow') await delay(fault.delayMs);
+    if (request.url === '/v3/watch') {
+      await this.watch(body, response);
+      return;
+    }
+    const answer = await this.dispatch(request.url ?? '', body);
+    if (fault.kind === 'lose-answers') {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(answer === undefined ? 404 : 200);
+    response.end(JSON.stringify(answer ?? {}));
+  }
+
+  private dispatch(url: string, body: unknown): Promise<unknown> {
+    switch (url) {
+      case '/v3/kv/range':
+        return this.range(RANGE_SCHEMA.parse(body));
+      case '/v3/kv/put':
+        return this.put(PUT_SCHEMA.parse(body));
+      case '/v3/kv/txn':
+        return this.txn(TXN_SCHEMA.parse(body));
+      case '/v3/kv/deleterange':
+        return this.delete(KEY_SCHEMA.parse(body).key);
+      case '/v3/lease/grant':
+        return this.grant(GRANT_SCHEMA.parse(body).TTL);
+      case '/v3/lease/keepalive':
+        return this.keepAlive(LEASE_SCHEMA.parse(body).ID);
+      case '/v3/lease/revoke':
+        return this.revoke(LEASE_SCHEMA.parse(body).ID);
+      default:
+        return Promise.resolve(undefined);
+    }
+  }
+
+  private async range(request: z.infer<typeof RANGE_SCHEMA>): Promise<unknown> {
+    const key = decodeBase64(request.key);
+    if (request.range_end === undefined) {
+      const found = (await this.memory.get(key)).unwrap();
+      return {kvs: found ? [encodeKeyValue(found)] : []};
+    }
+    const found = (await this.memory.list(key, request.limit)).unwrap();
+    return {kvs: found.map(encodeKeyValue)};
+  }
+
+  private async put(request: z.infer<typeof PUT_SCHEMA>): Promise<unknown> {
+    const {key, value, leaseId} = decodePut(request);
+    await this.memory.put(key, value, leaseId);
+    return {};
+  }
+
+  private async txn(request: z.infer<typeof TXN_SCHEMA>): Promise<unknown> {
+    const [compare] = request.compare;
+    const [success] = request.success;
+    if (!compare || !success) return undefined;
+    const answer = await this.memory.compareAndSwap({
+      ...decodePut(success.request_put),
+      expectedRevision: compare.mod_revision,
+    });
+    const outcome = answer.unwrap();
+    if (outcome.kind === 'committed') {
+      return {succeeded: true, header: {revision: String(outcome.revision)}};
+    }
+    const kvs = outcome.current ? [encodeKeyValue(outcome.current)] : [];
+    return {
+      succeeded: false,
+      header: {revision: '0'},
+      responses: [{response_range: {kvs}}],
+    };
+  }
+
+  private async delete(key: string): Promise<unknown> {
+    await this.memory.delete(decodeBase64(key));
+    return {};
+  }
+
+  private async grant(ttlSeconds: number): Promise<unknown> {
+    const lease = await this.memory.grantLease(ttlSeconds * MS_PER_SECOND);
+    return {ID: lease.unwrap()};
+  }
+
+  private async keepAlive(id: string): Promise<unknown> {
+    const alive = await this.memory.keepLeaseAlive(brandId<LeaseId>(id));
+    return {result: {TTL: alive.unwrap() ? '1' : '0'}};
+  }
+
+  private async revoke(id: string): Promise<unknown> {
+    await this.memory.revokeLease(brandId<LeaseId>(id));
+    return {};
+  }
+
+  private async watch(body: unknown, response: ServerResponse): Promise<void> {
+    const {create_request: create} = WATCH_SCHEMA.parse(body);
+    const controller = new AbortController();
+    response.once('close', () => controller.abort());
+    response.writeHead(200);
+    response.write('{"result":{"created":true}}\n');
+    const change = await this.memory.waitForChange({
+      key: decodeBase64(create.key),
+      afterRevision: create.start_revision - 1,
+      timeoutMs: WATCH_LIMIT_MS,
+      signal: controller.signal,
+    });
+    const found = change.unwrap();
+    if (!found || response.destroyed) return;
+    const events = [{type: 'PUT', kv: encodeKeyValue(found)}];
+    response.end(`${JSON.stringify({result: {events}})}\n`);
+  }
+}
+
+function encodeKeyValue(entry: KeyValue) {
+  return {
+    key: encodeBase64(entry.key),
+    value: encodeBase64(entry.value),
+    mod_revision: String(entry.revision),
+  };
+}
+
+function decodePut(put: z.infer<typeof PUT_SCHEMA>) {
+  return {
+    key: decodeBase64(put.key),
+    value: decodeBase64(put.value),
+    ...(put.lease === undefined ? {} : {leaseId: brandId<LeaseId>(put.lease)}),
+  };
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  let text = '';
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    text += chunk.toString('utf8');
+  }
+  return JSON.parse(text);
+}
+
+function delay(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
