Prove the request path by fuzzing and by failures of real processes

Cause: the promises to callers had no proof under failure.

Change: slot queue and claims are fuzzed against oracles; a mesh of processes is loaded while targets and daemons are killed, frozen and drained and the store fails; a ledger compares each caller's outcome with the targets' runs. A stopping server only stops accepting and serves its open connections until they are quiet, since the close of http.Server also cuts a connection whose request has arrived but is not read yet.

Ruled out: waiting for a fixed time before closing connections; it cuts a busy keep-alive connection or waits for nothing.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -76,6 +76,13 @@
     this.pauseDetector.start();
   }
 
+  /** Ends without a word to the peers, as a crash does. */
+  abandon(): void {
+    clearInterval(this.tickTimer);
+    this.pauseDetector.stop();
+    stop(this.system);
+  }
+
   /** Leaves the mesh and ends all links. */
   async stop(): Promise<void> {
     clearInterval(this.tickTimer);
--- a/packages/coordination/src/readiness.ts
+++ b/packages/coordination/src/readiness.ts
@@ -61,6 +61,7 @@
     tipVersion: number,
   ): void {
     this.heardPeers.add(peerId);
+    this.hasHeardSincePause = true;
     this.floorVersion = Math.max(this.floorVersion, floorVersion);
     this.announcedVersion = Math.max(this.announcedVersion, tipVersion);
     this.update();
--- a/packages/peer-protocol/src/testing/in_memory_network.ts
+++ b/packages/peer-protocol/src/testing/in_memory_network.ts
@@ -19,6 +19,8 @@
   private readonly pairs = new Set<LinkPair>();
   private readonly groups = new Map<PeerAddress, string>();
   private byteCount = 0;
+  private lossPeriod = 0;
+  private messageCount = 0;
 
   /** Makes the transport of the daemon at an address. */
   newTransport(address: PeerAddress): PeerTransport {
@@ -41,6 +43,17 @@
     }
   }
 
+  /** Loses every n-th message of established links; 0 loses none. */
+  setLossPeriod(lossPeriod: number): void {
+    this.lossPeriod = lossPeriod;
+  }
+
+  /** Whether the next message is lost on the way. */
+  isNextLost(): boolean {
+    this.messageCount += 1;
+    return this.lossPeriod > 0 && this.messageCount % this.lossPeriod === 0;
+  }
+
   /** Bytes of all messages sent so far. */
   getByteCount(): number {
     return this.byteCount;
@@ -158,8 +171,9 @@
   ): void {
     const frame = encodeMessage(message);
     this.network.countBytes(frame.byteLength);
+    const isLost = this.network.isNextLost();
     setTimeout(() => {
-      if (this.isEnded || this.isCut) return;
+      if (this.isEnded || this.isCut || isLost) return;
       receive(decodeMessage(frame).unwrap());
     }, LATENCY_MS);
   }
--- a/packages/platform/src/testing/faulty_store.ts
+++ b/packages/platform/src/testing/faulty_store.ts
@@ -71,8 +71,14 @@
     return this.run(true, () => this.store.delete(key));
   }
 
-  waitForChange(request: WatchRequest): StoreResult<KeyValue | undefined> {
-    return this.run(false, () => this.store.waitForChange(request));
+  async waitForChange(
+    request: WatchRequest,
+  ): Promise<Result<KeyValue | undefined, StoreError>> {
+    const change = await this.run(false, () =>
+      this.store.waitForChange(request),
+    );
+    // The way to the store may have been cut while the watch was waiting.
+    return this.plan(false) === 'none' ? change : newError('unavailable');
   }
 
   grantLease(ttlMs: number): StoreResult<LeaseId> {
--- /dev/null
+++ b/packages/proxy/src/gate.test.ts
@@ -0,0 +1,152 @@
+import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
+import {brandId} from '@cassiaknot/inventory';
+import {expect} from 'chai';
+import type {ClaimKeeper} from './claims/claims.js';
+import {Deadline} from './deadline.js';
+import type {GateRequest} from './gate.js';
+import {Gate} from './gate.js';
+import type {TargetClient, TargetOutcome} from './target_client.js';
+import {TargetRegistry} from './target_registry.js';
+
+const INSTANCE_ID = brandId<InstanceId>('i1');
+const SERVICE_ID = brandId<ServiceId>('orders');
+const ANSWERED: TargetOutcome = {
+  kind: 'answered',
+  answer: {
+    statusCode: 200,
+    headers: {},
+    body: Buffer.alloc(0),
+    rest: undefined,
+  },
+  targetTimeUs: 1,
+};
+
+/** A target that answers when the test says so. */
+class FakeTarget implements TargetClient {
+  readonly sent: Array<(outcome: TargetOutcome) => void> = [];
+
+  send(): Promise<TargetOutcome> {
+    return new Promise(resolve => this.sent.push(resolve));
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function newRequest(overrides: Partial<GateRequest> = {}): GateRequest {
+  return {
+    instanceId: INSTANCE_ID,
+    serviceId: SERVICE_ID,
+    method: 'POST',
+    path: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    idempotencyKey: undefined,
+    isSuspect: false,
+    deadline: new Deadline(5_000),
+    ...overrides,
+  };
+}
+
+describe('Gate', () => {
+  let target: FakeTarget;
+  let targets: TargetRegistry;
+  let crashes: boolean[];
+  let released: number;
+  let gate: Gate;
+
+  beforeEach(() => {
+    target = new FakeTarget();
+    crashes = [];
+    released = 0;
+    targets = new TargetRegistry({
+      silenceMs: 60_000,
+      newClient: () => target,
+      findService: () => undefined,
+      onChange: () => undefined,
+      onEnd: () => undefined,
+    });
+    targets.announce({
+      serviceId: SERVICE_ID,
+      address: '127.0.0.1:1',
+      slots: 1,
+      connections: 1,
+      warmUpMs: 0,
+    });
+    const claims: ClaimKeeper = {
+      claim: () =>
+        Promise.resolve({
+          kind: 'claimed',
+          claim: {
+            finish: () => undefined,
+            release: () => {
+              released += 1;
+            },
+          },
+        }),
+    };
+    gate = new Gate({
+      instanceId: INSTANCE_ID,
+      targets,
+      claims,
+      crashWatch: {
+        judge: () => 'clear',
+        acquit: () => undefined,
+        reportCrash: (_service, _fingerprint, ranAlone) => {
+          crashes.push(ranAlone);
+        },
+      },
+      findService: () => undefined,
+    });
+  });
+
+  afterEach(() => {
+    targets.stop();
+  });
+
+  it('refuses what waits and what comes once a drain begins', async () => {
+    const running = gate.handle(newRequest());
+    const waiting = gate.handle(newRequest());
+    await Promise.resolve();
+    const drained = targets.drain(1_000);
+    expect(await waiting).to.deep.equal({kind: 'not-run', reason: 'draining'});
+    const late = await gate.handle(newRequest());
+    expect(late.kind).to.equal('not-run');
+    target.sent[0]?.(ANSWERED);
+    expect((await running).kind).to.equal('answered');
+    expect(await drained).to.equal(true);
+    expect(target.sent.length).to.equal(1);
+  });
+
+  it('refuses a request meant for another instance or service', async () => {
+    const instanceId = brandId<InstanceId>('i2');
+    const other = await gate.handle(newRequest({instanceId}));
+    const serviceId = brandId<ServiceId>('ledger');
+    const wrong = await gate.handle(newRequest({serviceId}));
+    const refusal = {kind: 'not-run', reason: 'wrong-instance'};
+    expect([other, wrong]).to.deep.equal([refusal, refusal]);
+    expect(target.sent.length).to.equal(0);
+  });
+
+  it('frees the key and gives the target up when it can not connect', async () => {
+    const outcome = gate.handle(newRequest({idempotencyKey: 'k'}));
+    await new Promise(resolve => setImmediate(resolve));
+    target.sent[0]?.({kind: 'not-run', reason: 'connect-failed'});
+    expect((await outcome).kind).to.equal('not-run');
+    expect(released).to.equal(1);
+    expect(targets.getSession()).to.equal(undefined);
+  });
+
+  it('blames a lost request and tells whether it ran alone', async () => {
+    const first = gate.handle(newRequest());
+    const second = gate.handle(newRequest({isSuspect: true}));
+    await new Promise(resolve => setImmediate(resolve));
+    target.sent[0]?.({kind: 'unknown', reason: 'target-lost'});
+    await first;
+    await new Promise(resolve => setImmediate(resolve));
+    target.sent[1]?.({kind: 'unknown', reason: 'target-lost'});
+    await second;
+    expect(crashes).to.deep.equal([false, true]);
+  });
+});
--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -5,6 +5,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {Server as NetServer} from 'node:net';
 
 /** Answers one request; must not reject. */
 export type RequestHandler = (
@@ -21,12 +22,15 @@
 }
 
 const STOP_POLL_MS = 20;
+/** Time without a request after which open connections are closed. */
+const QUIET_MS = 200;
 
 /** Serves requests and counts those in flight. */
 export class HttpServer {
   private readonly server: Server;
   private inFlightCount = 0;
   private isDraining = false;
+  private lastActiveMs = 0;
 
   constructor(private readonly handler: RequestHandler) {
     this.server = createServer((request, response) => {
@@ -48,12 +52,18 @@
     this.isDraining = true;
   }
 
-  /** Waits for requests in flight, then closes; `false` if time ran out. */
+  /**
+   * Accepts no more connections, serves what comes on the open ones until they
+   * have been quiet for a while, then closes; `false` if time ran out.
+   */
   async stop(timeoutMs: number): Promise<boolean> {
     this.beginDrain();
-    this.server.close();
+    // The close of http.Server would also cut connections that carry a request
+    // not yet read; that of net.Server only stops accepting.
+    NetServer.prototype.close.call(this.server);
     const endsAtMs = performance.now() + timeoutMs;
-    while (this.inFlightCount > 0 && performance.now() < endsAtMs) {
+    this.lastActiveMs = performance.now();
+    while (!this.isQuiet() && performance.now() < endsAtMs) {
       await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
     }
     const isWhole = this.inFlightCount === 0;
@@ -62,6 +72,11 @@
     return isWhole;
   }
 
+  private isQuiet(): boolean {
+    if (this.inFlightCount > 0) return false;
+    return performance.now() - this.lastActiveMs >= QUIET_MS;
+  }
+
   private async serve(
     request: IncomingMessage,
     response: ServerResponse,
@@ -69,6 +84,7 @@
     this.inFlightCount += 1;
     response.once('close', () => {
       this.inFlightCount -= 1;
+      this.lastActiveMs = performance.now();
     });
     if (this.isDraining) response.setHeader('connection', 'close');
     await this.handler(request, response);
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -6,3 +6,4 @@
 export * from './test_mesh.js';
 export * from './inventories.js';
 export * from './call_mesh.js';
+export * from './call_ledger.js';
--- a/packages/test-support/src/targets/target_stand_in.ts
+++ b/packages/test-support/src/targets/target_stand_in.ts
@@ -41,7 +41,8 @@
 
 /**
  * Understands the query parameters `delay` (ms), `size` (bytes of answer),
- * `status`, `crash` and `cut` (bytes of the answer before it breaks).
+ * `status`, `crash`, `chunked` (no stated length) and `cut` (bytes of the
+ * answer before it breaks).
  */
 export class TargetStandIn {
   private readonly server = createServer((request, response) => {
@@ -130,7 +131,7 @@
     const answer = size > 0 ? Buffer.alloc(size, requestId || 'x') : body;
     response.writeHead(Number(query.get('status') ?? 200), {
       [REQUEST_ID_HEADER]: requestId,
-      'content-length': answer.byteLength,
+      ...(query.has('chunked') ? {} : {'content-length': answer.byteLength}),
     });
     const cut = query.get('cut');
     if (cut === null) {
