Let claims share the store by an adaptive rate

Change: each gate's rate grows while the store answers quickly and halves when it is slow or silent. Two calls at most are in flight, which bounds a cold start.

Ruled out: the rate alone. With a start of 20/s and two seconds of burst, 200 busy gates piled up 24 s of calls at a store of 300/s; the check of the backlog (below 1 s) went red, and the bound on calls in flight mended it.

Measured: six busy callers get more than half of the capacity, the least of twenty more than a third of the mean.

Conclusion: claims follow the store's capacity without a fleet-wide setting.

--- a/packages/daemon/src/control_meter.ts
+++ b/packages/daemon/src/control_meter.ts
@@ -12,6 +12,8 @@
   getLiveMemberCount(): number;
   getWaitingCount(): number;
   getRunningCount(): number;
+  /** Store calls per second that claims may make now. */
+  getClaimRate(): number;
 }
 
 /** Counts control traffic and events. */
@@ -90,6 +92,9 @@
     this.registerGauge('cassiaknot_gate_waiting', 'Requests waiting', () =>
       gauges.getWaitingCount(),
     );
+    this.registerGauge('cassiaknot_claim_rate', 'Claim calls/s allowed', () =>
+      gauges.getClaimRate(),
+    );
     this.registerGauge('cassiaknot_gate_running', 'Requests running', () =>
       gauges.getRunningCount(),
     );
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,20 +15,15 @@
   readonly entryServer: HttpServer;
   readonly gateServer: HttpServer;
   readonly operatorServer: HttpServer;
-  /** Adjusts the share of claim calls to the number of members. */
-  readonly adjustClaimRate: () => void;
   readonly closeClients: () => Promise<void>;
 }
 
 const PART = 'daemon';
 const ENTRY_IDLE_TIMEOUT_MS = 65_000;
 const OPERATOR_STOP_TIMEOUT_MS = 1_000;
-const CLAIM_RATE_PERIOD_MS = 2_000;
 
 /** One running daemon. */
 export class Daemon {
-  private claimRateTimer: NodeJS.Timeout | undefined;
-
   constructor(private readonly parts: DaemonParts) {}
 
   /** Binds all ports and joins the mesh. */
@@ -52,10 +47,6 @@
       port: ports.entry,
       idleTimeoutMs: ENTRY_IDLE_TIMEOUT_MS,
     });
-    this.claimRateTimer = setInterval(
-      this.parts.adjustClaimRate,
-      CLAIM_RATE_PERIOD_MS,
-    );
     log.write(
       'info',
       PART,
@@ -75,7 +66,6 @@
     await new Promise(resolve => setTimeout(resolve, drainMs));
     const isEntryWhole = await entryServer.stop(timeoutMs);
     const isGateWhole = await gateServer.stop(timeoutMs);
-    clearInterval(this.claimRateTimer);
     await coordinator.stop();
     await this.parts.operatorServer.stop(OPERATOR_STOP_TIMEOUT_MS);
     await this.parts.closeClients();
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -73,7 +73,7 @@
   claims: z
     .strictObject({
       horizon_ms: wholeNumber(1_000, 86_400_000, 600_000),
-      fleet_calls_per_second: wholeNumber(1, 10_000, 200),
+      max_calls_per_second: wholeNumber(1, 10_000, 100),
     })
     .prefault({}),
   retries: z
--- a/packages/daemon/src/wire_daemon.ts
+++ b/packages/daemon/src/wire_daemon.ts
@@ -12,7 +12,13 @@
 import {brandId, makeRecordKey} from '@cassiaknot/inventory';
 import type {GateAddress, PeerAddress} from '@cassiaknot/peer-protocol';
 import {WebSocketTransport} from '@cassiaknot/peer-protocol';
-import {HttpStore, LimitedStore, TokenBucket} from '@cassiaknot/platform';
+import {
+  AdaptiveRate,
+  DEFAULT_ADAPTIVE_RATE,
+  HttpStore,
+  LimitedStore,
+  TokenBucket,
+} from '@cassiaknot/platform';
 import {
   Balancer,
   Entry,
@@ -58,8 +64,11 @@
     log,
     findService,
   );
-  const claimBucket = new TokenBucket(getClaimRate(settings, 1));
-  const claimStore = new LimitedStore(store, claimBucket, () =>
+  const claimRate = new AdaptiveRate({
+    ...DEFAULT_ADAPTIVE_RATE,
+    maxPerSecond: settings.claims.max_calls_per_second,
+  });
+  const claimStore = new LimitedStore(store, claimRate, () =>
     controlMeter.countStoreRefusal('claims'),
   );
   const gate = new Gate({
@@ -82,6 +91,7 @@
     getVersion: () => coordinator.getConfiguration().state.version,
     getLiveMemberCount: () => countLiveMembers(coordinator),
     getWaitingCount: () => targets.getSession()?.queue.getWaitingCount() ?? 0,
+    getClaimRate: () => claimRate.getRatePerSecond(),
     getRunningCount: () => targets.getSession()?.queue.getRunningCount() ?? 0,
   });
   return new Daemon({
@@ -92,10 +102,6 @@
     entryServer: new HttpServer(newEntryHandler(entry, meter)),
     gateServer: new HttpServer(newGateHandler(gate, meter)),
     operatorServer: new HttpServer(newOperatorHandler({sources, registry})),
-    adjustClaimRate: () => {
-      const memberCount = Math.max(1, countLiveMembers(coordinator));
-      claimBucket.configure(getClaimRate(settings, memberCount));
-    },
     closeClients: async () => {
       await gateClient.close();
       await store.close();
@@ -221,13 +227,6 @@
   return record?.kind === 'service' ? record : undefined;
 }
 
-/** Each daemon's share of the store calls that all claims may make. */
-function getClaimRate(settings: Settings, memberCount: number) {
-  const {fleet_calls_per_second: fleetRate} = settings.claims;
-  const ratePerSecond = fleetRate / memberCount;
-  return {ratePerSecond, burst: Math.max(10, ratePerSecond)};
-}
-
 function getSeed(settings: Settings): number {
   const fresh = Math.floor(Math.random() * MAX_SEED);
   return settings.daemon.random_seed ?? fresh;
--- a/packages/platform/src/limited_store.ts
+++ b/packages/platform/src/limited_store.ts
@@ -1,8 +1,8 @@
-/** A store whose calls pass a token bucket before they are sent. */
+/** A store whose calls pass a limiter before they are sent. */
 
 import type {Result} from 'ts-results-es';
 import {Err} from 'ts-results-es';
-import type {TokenBucket} from './token_bucket.js';
+import type {CallLimiter} from './call_limiter.js';
 import type {
   CasOutcome,
   CasRequest,
@@ -20,7 +20,7 @@
 export class LimitedStore implements KeyValueStore {
   constructor(
     private readonly store: KeyValueStore,
-    private readonly bucket: TokenBucket,
+    private readonly limiter: CallLimiter,
     private readonly onRefused: () => void = () => undefined,
   ) {}
 
@@ -44,8 +44,13 @@
     return this.run(() => this.store.delete(key));
   }
 
-  waitForChange(request: WatchRequest): StoreResult<KeyValue | undefined> {
-    return this.run(() => this.store.waitForChange(request));
+  async waitForChange(
+    request: WatchRequest,
+  ): Promise<Result<KeyValue | undefined, StoreError>> {
+    if (!this.limiter.tryTake()) return this.refuse();
+    // How long a watch waits says nothing about the store.
+    this.limiter.recordUnmeasured();
+    return this.store.waitForChange(request);
   }
 
   grantLease(ttlMs: number): StoreResult<LeaseId> {
@@ -63,8 +68,20 @@
   private async run<T>(
     call: () => StoreResult<T>,
   ): Promise<Result<T, StoreError>> {
-    if (this.bucket.tryTake()) return call();
+    if (!this.limiter.tryTake()) return this.refuse();
+    const startedAtMs = performance.now();
+    const result = await call();
+    const latencyMs = performance.now() - startedAtMs;
+    this.limiter.recordAnswer(latencyMs, isAnswered(result));
+    return result;
+  }
+
+  private refuse(): Err<StoreError> {
     this.onRefused();
     return Err(LIMITED);
   }
 }
+
+function isAnswered<T>(result: Result<T, StoreError>): boolean {
+  return result.isOk() || result.error.kind === 'rejected';
+}
--- a/packages/platform/src/token_bucket.ts
+++ b/packages/platform/src/token_bucket.ts
@@ -1,5 +1,7 @@
 /** Token bucket on the runtime's clock. */
 
+import type {CallLimiter} from './call_limiter.js';
+
 /** Size and refill rate of a {@link TokenBucket}. */
 export interface TokenBucketOptions {
   readonly ratePerSecond: number;
@@ -7,7 +9,7 @@
 }
 
 /** Admits events at a bounded rate, with bursts up to a bound. */
-export class TokenBucket {
+export class TokenBucket implements CallLimiter {
   private tokens: number;
   private updatedAtMs: number = Date.now();
 
@@ -23,6 +25,16 @@
     return true;
   }
 
+  /** A fixed rate learns nothing from answers. */
+  recordAnswer(): void {
+    return;
+  }
+
+  /** A fixed rate does not count calls in flight. */
+  recordUnmeasured(): void {
+    return;
+  }
+
   /** Returns the time until one token is there, 0 if there is one now. */
   getWaitMs(): number {
     this.refill();
