Turn to unreachable data centres last

Cause: the watchers of a member stand in its own data centre, so when a whole data centre dies or is cut off nobody buries its members. Entries elsewhere would go on trying its gates as each ejection ends, up to 500 ms a time.

Change: a reader that has had no link to a data centre for 10 s says so in its own record; where two readers of a data centre agree, all its daemons choose targets there last. Nothing is buried, so nothing has to be undone when the cut heals.

Ruled out: burying the members from outside; after a cut of regions that would rewrite thousands of records on both sides, and back.

--- a/packages/coordination/src/actors/membership_actor.ts
+++ b/packages/coordination/src/actors/membership_actor.ts
@@ -229,7 +229,8 @@
     if (this.news.size === 0) return;
     this.gossip();
     const digest = this.table.getDigest();
-    const view = newMembershipView(this.table.getAll(), digest);
+    const {dataCentreId} = this.own;
+    const view = newMembershipView(this.table.getAll(), digest, dataCentreId);
     this.context.published.publishMembership(view);
     if (!this.plan) this.replan();
   }
@@ -300,6 +301,25 @@
     return chosen;
   }
 
+  // A reader tells its data centre which others it has had no link to.
+  private reportUnreachable(): void {
+    const {observer, timing} = this.context.options;
+    const horizonMs = Date.now() - timing.unreachableAfterMs;
+    const unreachable: DataCentreId[] = [];
+    for (const dataCentreId of this.plan?.remoteCandidates.keys() ?? []) {
+      const sinceMs = this.remoteUnlinkedSinceMs.get(dataCentreId);
+      if (sinceMs !== undefined && sinceMs < horizonMs) {
+        unreachable.push(dataCentreId);
+      }
+    }
+    unreachable.sort();
+    if (unreachable.join() === (this.own.unreachable ?? []).join()) return;
+    const names = unreachable.join(', ') || 'none';
+    observer.log('warn', PART, `Unreachable data centres: ${names}.`);
+    this.own = {...this.own, unreachable};
+    this.changeOwn({});
+  }
+
   private tick(): void {
     this.forgiveOwnPause();
     this.claimFailures();
@@ -308,6 +328,7 @@
     // Planning ranks all members of the data centre, so once a beat is enough.
     if (this.isReplanDue) this.replan();
     else if (this.plan) this.sendWanted(this.plan);
+    this.reportUnreachable();
   }
 
   private forgiveOwnPause(): void {
@@ -315,7 +336,9 @@
     const {heartbeatMs} = this.context.options.timing;
     const pausedMs = nowMs - this.lastTickMs - heartbeatMs;
     this.lastTickMs = nowMs;
-    if (pausedMs >= heartbeatMs) this.detector.forgivePause(pausedMs);
+    if (pausedMs < heartbeatMs) return;
+    this.detector.forgivePause(pausedMs);
+    this.remoteUnlinkedSinceMs.clear();
   }
 
   private claimFailures(): void {
--- a/packages/coordination/src/coordinator.test.ts
+++ b/packages/coordination/src/coordinator.test.ts
@@ -156,6 +156,25 @@
     }
   });
 
+  it('knows in each daemon which data centres can not be reached', async () => {
+    fleet = await startFleet(clock, 3);
+    const [cut = brandId<DataCentreId>('')] = DATA_CENTRES;
+    fleet.setGroup(cut, 'alone');
+    await clock.tickAsync(DETECTION_MS);
+    for (const slot of fleet.slots) {
+      const {unreachable} = slot.coordinator?.getMembership() ?? {};
+      const others = DATA_CENTRES.filter(id => id !== cut);
+      const expected = slot.dataCentreId === cut ? others : [cut];
+      expect([...(unreachable ?? [])].sort()).to.deep.equal(expected);
+    }
+    fleet.setGroup(cut, undefined);
+    await clock.tickAsync(RECOVERY_MS);
+    for (const slot of fleet.slots) {
+      const {unreachable} = slot.coordinator?.getMembership() ?? {};
+      expect(unreachable?.size).to.equal(0);
+    }
+  });
+
   it('does not serve below the version that its slot last held', async () => {
     fleet = await startFleet(clock, 4);
     const version = await fleet.commit();
--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -60,6 +60,8 @@
   readonly verifyTimeoutMs: number;
   /** Delay over which member news is gathered into one message. */
   readonly gossipDelayMs: number;
+  /** Time without a link after which a data centre is called unreachable. */
+  readonly unreachableAfterMs: number;
   /** Least time between two comparisons of tables that a daemon begins. */
   readonly repairGapMs: number;
 }
@@ -91,6 +93,7 @@
   verifyTimeoutMs: 1_000,
   gossipDelayMs: 100,
   repairGapMs: 3_000,
+  unreachableAfterMs: 10_000,
 };
 
 /** Severity of a log line. */
--- a/packages/coordination/src/membership_view.ts
+++ b/packages/coordination/src/membership_view.ts
@@ -14,15 +14,25 @@
   readonly liveByDataCentre: ReadonlyMap<DataCentreId, readonly MemberRecord[]>;
   /** Digest of all live records. */
   readonly digest: number;
+  /** Data centres that the own one has no link to. */
+  readonly unreachable: ReadonlySet<DataCentreId>;
 }
 
+/** Readers that must agree before a data centre counts as unreachable. */
+const MIN_REPORTS = 2;
+
 /** The view before anything is known. */
-export const EMPTY_MEMBERSHIP_VIEW: MembershipView = newMembershipView([], 0);
+export const EMPTY_MEMBERSHIP_VIEW: MembershipView = newMembershipView(
+  [],
+  0,
+  undefined,
+);
 
 /** Builds a view and its indexes. */
 export function newMembershipView(
   all: Iterable<MemberRecord>,
   digest: number,
+  ownDataCentreId: DataCentreId | undefined,
 ): MembershipView {
   const records = new Map<InstanceId, MemberRecord>();
   const targetsByService = new Map<ServiceId, MemberRecord[]>();
@@ -35,7 +45,27 @@
       pushTo(targetsByService, record.target.serviceId, record);
     }
   }
-  return {records, targetsByService, liveByDataCentre, digest};
+  const local = ownDataCentreId && liveByDataCentre.get(ownDataCentreId);
+  const unreachable = findUnreachable(local ?? []);
+  return {records, targetsByService, liveByDataCentre, digest, unreachable};
+}
+
+// The readers report for all daemons, which have no links of their own abroad.
+function findUnreachable(
+  local: readonly MemberRecord[],
+): ReadonlySet<DataCentreId> {
+  const reportCounts = new Map<DataCentreId, number>();
+  for (const {unreachable = []} of local) {
+    for (const remote of unreachable) {
+      reportCounts.set(remote, (reportCounts.get(remote) ?? 0) + 1);
+    }
+  }
+  const wanted = Math.min(MIN_REPORTS, local.length);
+  const found = new Set<DataCentreId>();
+  for (const [remote, count] of reportCounts) {
+    if (count >= wanted) found.add(remote);
+  }
+  return found;
 }
 
 // A suspected member may well be alive; its gate tells at once if it is not.
--- a/packages/peer-protocol/src/member_record.ts
+++ b/packages/peer-protocol/src/member_record.ts
@@ -56,6 +56,8 @@
   gateAddress: GATE_ADDRESS_SCHEMA,
   target: TARGET_CAPACITY_SCHEMA.optional(),
   heldVersion: z.number().int().min(0),
+  /** Data centres that this member, as a reader, can't link to. */
+  unreachable: z.array(DATA_CENTRE_ID_SCHEMA).optional(),
 });
 
 /** State of a member. */
--- /dev/null
+++ b/packages/proxy/src/balancer.test.ts
@@ -0,0 +1,136 @@
+import type {RandomSource} from '@cassiaknot/coordination';
+import {SeededRandom, newMembershipView} from '@cassiaknot/coordination';
+import type {
+  ConfigurationState,
+  DataCentreId,
+  InstanceId,
+  ServiceRecord,
+} from '@cassiaknot/inventory';
+import {
+  RECORD_SCHEMA,
+  brandId,
+  indexRecords,
+  newState,
+} from '@cassiaknot/inventory';
+import type {
+  GateAddress,
+  MemberRecord,
+  PeerAddress,
+} from '@cassiaknot/peer-protocol';
+import {expect} from 'chai';
+import {Balancer} from './balancer.js';
+import {GateHealth} from './gate_health.js';
+import {notRun} from './outcome.js';
+
+const OWN = brandId<DataCentreId>('own');
+const SERVICE = RECORD_SCHEMA.parse({
+  kind: 'service',
+  id: 's',
+  ownerId: 'o',
+  dataCentreIds: ['own', 'near', 'far'],
+}) as ServiceRecord;
+const STATE: ConfigurationState = newState(
+  1,
+  indexRecords([
+    SERVICE,
+    ...['own', 'near', 'far', 'banned'].map(id =>
+      RECORD_SCHEMA.parse({
+        kind: 'data-centre',
+        id,
+        region: id === 'far' ? 'abroad' : 'home',
+      }),
+    ),
+  ]),
+);
+
+function newMember(name: string, overrides: Partial<MemberRecord> = {}) {
+  const [dataCentre = ''] = name.split('-');
+  return {
+    instanceId: brandId<InstanceId>(name),
+    incarnation: 1,
+    state: 'serving' as const,
+    dataCentreId: brandId<DataCentreId>(dataCentre),
+    peerAddress: brandId<PeerAddress>('h:1'),
+    gateAddress: brandId<GateAddress>('h:2'),
+    heldVersion: 0,
+    target: {serviceId: SERVICE.id, slots: 2, connections: 2},
+    ...overrides,
+  };
+}
+
+describe('Balancer', () => {
+  let health: GateHealth;
+  let random: RandomSource;
+
+  beforeEach(() => {
+    health = new GateHealth();
+    random = new SeededRandom(1);
+  });
+
+  function choose(
+    members: readonly MemberRecord[],
+    tried: readonly string[] = [],
+  ): string | undefined {
+    const balancer = new Balancer(OWN, health, random);
+    return balancer.choose({
+      service: SERVICE,
+      state: STATE,
+      membership: newMembershipView(members, 0, OWN),
+      tried: new Set(tried.map(id => brandId<InstanceId>(id))),
+    })?.instanceId;
+  }
+
+  function fail(name: string): void {
+    const instanceId = brandId<InstanceId>(name);
+    health.recordStart(instanceId);
+    const outcome = notRun('connect-failed');
+    health.recordEnd(instanceId, {outcome, load: undefined});
+  }
+
+  function load(name: string, count: number): void {
+    const instanceId = brandId<InstanceId>(name);
+    for (let call = 0; call < count; call += 1) health.recordStart(instanceId);
+  }
+
+  it('prefers the own data centre, then the region, then the rest', () => {
+    const members = ['far-1', 'near-1', 'own-1'].map(name => newMember(name));
+    expect(choose(members)).to.equal('own-1');
+    expect(choose(members, ['own-1'])).to.equal('near-1');
+    expect(choose(members, ['own-1', 'near-1'])).to.equal('far-1');
+    expect(choose(members, ['own-1', 'near-1', 'far-1'])).to.equal(undefined);
+  });
+
+  it('leaves out data centres that the service may not run in', () => {
+    expect(choose([newMember('banned-1')])).to.equal(undefined);
+  });
+
+  it('leaves a failing gate alone, unless there is no other', () => {
+    const members = [newMember('own-1'), newMember('own-2')];
+    fail('own-1');
+    for (let round = 0; round < 20; round += 1) {
+      expect(choose(members)).to.equal('own-2');
+    }
+    fail('own-2');
+    expect(choose(members)).not.to.equal(undefined);
+  });
+
+  it('goes abroad when everything near is loaded', () => {
+    const members = [newMember('own-1'), newMember('far-1')];
+    load('own-1', 3);
+    expect(choose(members)).to.equal('far-1');
+    load('far-1', 3);
+    expect(choose(members)).to.equal('own-1');
+  });
+
+  it('turns to an unreachable data centre last', () => {
+    const unreachable = [brandId<DataCentreId>('near')];
+    const members = [
+      newMember('near-1'),
+      newMember('far-1'),
+      newMember('own-1', {target: undefined, unreachable}),
+      newMember('own-2', {target: undefined, unreachable}),
+    ];
+    expect(choose(members)).to.equal('far-1');
+    expect(choose(members, ['far-1'])).to.equal('near-1');
+  });
+});
--- a/packages/proxy/src/balancer.ts
+++ b/packages/proxy/src/balancer.ts
@@ -74,16 +74,19 @@
     const own: MemberRecord[] = [];
     const sameRegion: MemberRecord[] = [];
     const elsewhere: MemberRecord[] = [];
+    const unreachable: MemberRecord[] = [];
     const ownRegion = getRegion(state, this.dataCentreId);
     for (const member of membership.targetsByService.get(service.id) ?? []) {
       if (tried.has(member.instanceId)) continue;
       if (!service.dataCentreIds.includes(member.dataCentreId)) continue;
       if (member.dataCentreId === this.dataCentreId) own.push(member);
-      else if (getRegion(state, member.dataCentreId) === ownRegion) {
+      else if (membership.unreachable.has(member.dataCentreId)) {
+        unreachable.push(member);
+      } else if (getRegion(state, member.dataCentreId) === ownRegion) {
         sameRegion.push(member);
       } else elsewhere.push(member);
     }
-    return [own, sameRegion, elsewhere];
+    return [own, sameRegion, elsewhere, unreachable];
   }
 }
 
--- /dev/null
+++ b/packages/test-support/src/http_store.test.ts
@@ -0,0 +1,78 @@
+import {HttpStore} from '@cassiaknot/platform';
+import {expect} from 'chai';
+import {StoreStandIn} from './store_stand_in.js';
+
+describe('HttpStore', () => {
+  let standIn: StoreStandIn;
+  let store: HttpStore;
+
+  beforeEach(async () => {
+    standIn = new StoreStandIn();
+    await standIn.start();
+    store = new HttpStore({url: standIn.getUrl(), timeoutMs: 1_000});
+  });
+
+  afterEach(async () => {
+    await store.close();
+    await standIn.stop();
+  });
+
+  it('reads, writes and lists', async () => {
+    expect((await store.get('a')).unwrap()).to.equal(undefined);
+    await store.put('a/1', 'ü');
+    await store.put('a/2', 'y');
+    await store.put('b', 'z');
+    const listed = (await store.list('a/', 10)).unwrap();
+    expect(listed.map(({key, value}) => key + value)).to.deep.equal([
+      'a/1ü',
+      'a/2y',
+    ]);
+    await store.delete('a/1');
+    expect((await store.get('a/1')).unwrap()).to.equal(undefined);
+  });
+
+  it('swaps only at the expected revision', async () => {
+    const request = {key: 'k', value: 'x', expectedRevision: 0};
+    const first = (await store.compareAndSwap(request)).unwrap();
+    expect(first.kind).to.equal('committed');
+    const second = (await store.compareAndSwap(request)).unwrap();
+    expect(second.kind).to.equal('conflict');
+    if (first.kind !== 'committed' || second.kind !== 'conflict') return;
+    expect(second.current?.revision).to.equal(first.revision);
+  });
+
+  it('waits for the next write and no longer than asked', async () => {
+    const request = {key: 'k', afterRevision: 0, timeoutMs: 5_000};
+    const change = store.waitForChange(request);
+    await store.put('k', 'new');
+    expect((await change).unwrap()?.value).to.equal('new');
+    const quiet = {key: 'other', afterRevision: 0, timeoutMs: 20};
+    expect((await store.waitForChange(quiet)).unwrap()).to.equal(undefined);
+  });
+
+  it('keeps leases and ends them with their keys', async () => {
+    const leaseId = (await store.grantLease(60_000)).unwrap();
+    await store.put('k', 'x', leaseId);
+    expect((await store.keepLeaseAlive(leaseId)).unwrap()).to.equal(true);
+    await store.revokeLease(leaseId);
+    expect((await store.keepLeaseAlive(leaseId)).unwrap()).to.equal(false);
+    expect((await store.get('k')).unwrap()).to.equal(undefined);
+  });
+
+  it('calls a write without an answer ambiguous, a read unavailable', async () => {
+    standIn.setFault({kind: 'lose-answers'});
+    const put = await store.put('k', 'x');
+    expect(put.isErr() && put.error.kind).to.equal('ambiguous');
+    const get = await store.get('k');
+    expect(get.isErr() && get.error.kind).to.equal('unavailable');
+    standIn.setFault({kind: 'none'});
+    expect((await store.get('k')).unwrap()?.value).to.equal('x');
+  });
+
+  it('calls a write that never left unavailable', async () => {
+    const nowhere = new HttpStore({url: 'http://127.0.0.1:1', timeoutMs: 500});
+    const put = await nowhere.put('k', 'x');
+    expect(put.isErr() && put.error.kind).to.equal('unavailable');
+    await nowhere.close();
+  });
+});
