Close a target's connections after its end; take test ports out of reach

Change: the pool is closed once nothing runs; ports come from below the range of outgoing connections.

Ruled out: closing the pool at once, which would cut running requests.

Conclusion: no failure was seen from either; both were latent.

--- a/packages/proxy/src/target_registry.ts
+++ b/packages/proxy/src/target_registry.ts
@@ -64,12 +64,7 @@
     const {session} = this;
     this.end('draining');
     if (!session) return true;
-    const endsAtMs = performance.now() + timeoutMs;
-    while (session.queue.getRunningCount() > 0) {
-      if (performance.now() > endsAtMs) return false;
-      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
-    }
-    return true;
+    return waitForRuns(session, timeoutMs);
   }
 
   /** Takes no target any more: the daemon is about to stop. */
@@ -93,6 +88,7 @@
     clearTimeout(this.silenceTimer);
     const waitingCount = session.queue.getWaitingCount();
     session.close(reason);
+    void releaseClient(session);
     this.options.onEnd(reason, waitingCount);
     this.options.onChange(undefined);
   }
@@ -104,6 +100,26 @@
   }
 }
 
+/** Resolves with `true` when nothing runs, with `false` after a limit. */
+async function waitForRuns(
+  session: TargetSession,
+  timeoutMs: number,
+): Promise<boolean> {
+  const endsAtMs = performance.now() + timeoutMs;
+  while (session.queue.getRunningCount() > 0) {
+    if (performance.now() > endsAtMs) return false;
+    await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+  }
+  return true;
+}
+
+/** Closes the connections of an ended session when nothing runs any more. */
+async function releaseClient(session: TargetSession): Promise<void> {
+  // Every run ends by its deadline, so the wait needs no limit of its own.
+  await waitForRuns(session, Number.POSITIVE_INFINITY);
+  await session.client.close();
+}
+
 function isSameTarget(
   left: TargetAnnouncement,
   right: TargetAnnouncement,
--- a/packages/test-support/src/child_processes.ts
+++ b/packages/test-support/src/child_processes.ts
@@ -5,7 +5,6 @@
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -41,9 +40,15 @@
 const TARGET_MAIN = fileURLToPath(
   new URL('./targets/target_main.js', import.meta.url),
 );
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 16_000;
+const PORT_STRIDE = 97;
 const POLL_MS = 20;
 const START_TIMEOUT_MS = 15_000;
 
+// Runs side by side begin at different ports.
+let nextPortOffset = process.pid * PORT_STRIDE;
+
 /** One `cassiaknotd` process. */
 export class DaemonProcess {
   readonly ports: DaemonPorts;
@@ -228,21 +233,33 @@
   }
 }
 
+/**
+ * Finds ports below the range from which the system takes those of outgoing
+ * connections: such a one could be taken while a daemon restarts.
+ */
 async function findPorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
   const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    ports.push((server.address() as AddressInfo).port);
-  }
-  for (const server of servers) {
-    server.close();
-    await once(server, 'close');
+  while (ports.length < count) {
+    const port = FIRST_PORT + (nextPortOffset % PORT_COUNT);
+    nextPortOffset += 1;
+    if (await isFreePort(port)) ports.push(port);
   }
   return ports;
 }
 
+async function isFreePort(port: number): Promise<boolean> {
+  const server = createServer();
+  try {
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
+  } catch {
+    return false;
+  }
+  server.close();
+  await once(server, 'close');
+  return true;
+}
+
 async function readPage(url: string): Promise<string | undefined> {
   try {
     const answer = await request(url, {signal: AbortSignal.timeout(2_000)});
