Keep one polling wait in the proxy

Change: wait_until serves both; the header is set once. Behaviour stays.

Ruled out: merging the model commands of the tests that share a shape; they differ in model, wait and checks.

--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {Server as NetServer} from 'node:net';
+import {waitUntil} from './wait_until.js';
 
 /** Answers one request; must not reject. */
 export type RequestHandler = (
@@ -21,7 +22,6 @@
   readonly idleTimeoutMs: number;
 }
 
-const STOP_POLL_MS = 20;
 /** Time without a request after which the listener is closed. */
 const QUIET_MS = 200;
 const MAX_REFUSING_MS = 2_000;
@@ -88,8 +88,8 @@
     response: ServerResponse,
   ): Promise<void> {
     this.lastArrivalMs = performance.now();
+    if (this.isDraining) response.setHeader('connection', 'close');
     if (this.isRefusing) {
-      response.setHeader('connection', 'close');
       await this.refuse(request, response);
       return;
     }
@@ -97,17 +97,6 @@
     response.once('close', () => {
       this.inFlightCount -= 1;
     });
-    if (this.isDraining) response.setHeader('connection', 'close');
     await this.handler(request, response);
   }
 }
-
-async function waitUntil(
-  condition: () => boolean,
-  timeoutMs: number,
-): Promise<void> {
-  const endsAtMs = performance.now() + timeoutMs;
-  while (!condition() && performance.now() < endsAtMs) {
-    await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
-  }
-}
--- a/packages/proxy/src/target_registry.ts
+++ b/packages/proxy/src/target_registry.ts
@@ -8,6 +8,7 @@
 import type {TargetClient, TargetClientOptions} from './target_client.js';
 import type {TargetAnnouncement} from './target_session.js';
 import {TargetSession} from './target_session.js';
+import {waitUntil} from './wait_until.js';
 
 /** Collaborators of a {@link TargetRegistry}. */
 export interface TargetRegistryOptions {
@@ -23,7 +24,6 @@
 }
 
 const DEFAULT_QUEUE_LIMIT = 64;
-const DRAIN_POLL_MS = 20;
 
 /** Owns the session of the target. */
 export class TargetRegistry {
@@ -100,17 +100,11 @@
   }
 }
 
-/** Resolves with `true` when nothing runs, with `false` after a limit. */
-async function waitForRuns(
-  session: TargetSession,
+function waitForRuns(
+  {queue}: TargetSession,
   timeoutMs: number,
 ): Promise<boolean> {
-  const endsAtMs = performance.now() + timeoutMs;
-  while (session.queue.getRunningCount() > 0) {
-    if (performance.now() > endsAtMs) return false;
-    await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
-  }
-  return true;
+  return waitUntil(() => queue.getRunningCount() === 0, timeoutMs);
 }
 
 /** Closes the connections of an ended session when nothing runs any more. */
