--- a/packages/coordination/src/actors/replica_actor.ts
+++ b/packages/coordination/src/actors/replica_actor.ts
@@ -120,6 +120,10 @@
     options.observer.count(
       isInstalled ? 'version-installed' : 'version-skipped',
     );
+    if (isInstalled) {
+      const sentence = `Version ${installed.version} is in force.`;
+      options.observer.log('info', PART, sentence);
+    }
     if (skipped) {
       const {length} = skipped.problems;
       const sentence = `Skipped version ${tip.version}: ${length} problems.`;
--- a/packages/proxy/src/bodies.ts
+++ b/packages/proxy/src/bodies.ts
@@ -8,11 +8,14 @@
 /** Why a request body was not taken. */
 export type BodyError = 'body-too-large' | 'body-incomplete';
 
+const EMPTY_BODY = Buffer.alloc(0);
+
 /** Reads a request's body whole. */
 export async function readRequestBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<Buffer, BodyError>> {
+  if (!hasBody(request)) return Ok(EMPTY_BODY);
   const chunks: Buffer[] = [];
   let size = 0;
   try {
@@ -36,23 +39,38 @@
 }
 
 /** Reads a stream until its end or until a bound is passed; may reject. */
-export async function holdBody(
+export function holdBody(
   stream: Readable,
   maxBytes: number,
 ): Promise<HeldBody> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // An error after the held part reaches whoever reads the rest.
-  stream.on('error', () => undefined);
-  const iterator = stream.iterator({destroyOnReturn: false});
-  for await (const chunk of iterator as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-    size += chunk.byteLength;
-    if (size > maxBytes) {
-      return {body: joinChunks(chunks, size), rest: stream};
-    }
-  }
-  return {body: joinChunks(chunks, size), rest: undefined};
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const handleData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.byteLength;
+      if (size <= maxBytes) return;
+      stream.pause();
+      stream.off('data', handleData);
+      stream.off('end', handleEnd);
+      resolve({body: joinChunks(chunks, size), rest: stream});
+    };
+    const handleEnd = () => {
+      resolve({body: joinChunks(chunks, size), rest: undefined});
+    };
+    stream.on('data', handleData);
+    stream.once('end', handleEnd);
+    // An error after the held part also reaches whoever reads the rest.
+    stream.once('error', reject);
+    stream.on('error', () => undefined);
+    stream.once('close', () => reject(new Error('closed before its end')));
+  });
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  const {headers} = request;
+  if (headers['transfer-encoding'] !== undefined) return true;
+  return Number(headers['content-length'] ?? 0) > 0;
 }
 
 function joinChunks(chunks: readonly Buffer[], size: number): Buffer {
--- a/packages/proxy/src/claims/claims.ts
+++ b/packages/proxy/src/claims/claims.ts
@@ -51,7 +51,9 @@
 }
 
 const MAX_SETTLE_ATTEMPTS = 4;
-const SETTLE_DELAY_MS = 50;
+const SETTLE_DELAY_MS = 20;
+/** Time for which a claim waits for the limiter to let it through. */
+const MAX_LIMITED_WAIT_MS = 1_000;
 const MAX_FINISH_ATTEMPTS = 6;
 const FINISH_DELAY_MS = 200;
 
@@ -94,11 +96,17 @@
   }
 
   async run(): Promise<ClaimDecision> {
-    for (let count = 0; count < MAX_SETTLE_ATTEMPTS; count += 1) {
-      if (count > 0) await delay(SETTLE_DELAY_MS);
-      if (this.request.deadline.getRemainingMs() <= 0) break;
+    const {deadline} = this.request;
+    const endsAtMs = performance.now() + MAX_LIMITED_WAIT_MS;
+    let attemptCount = 0;
+    while (attemptCount < MAX_SETTLE_ATTEMPTS) {
       const outcome = await this.tryCreate();
       if (outcome.kind !== 'again') return outcome;
+      const wasLimited = this.lastReason === 'claim-limited';
+      if (wasLimited && performance.now() >= endsAtMs) break;
+      if (!wasLimited) attemptCount += 1;
+      await delay(SETTLE_DELAY_MS);
+      if (deadline.getRemainingMs() <= 0) break;
     }
     if (this.mayHaveWritten) void this.releaseWhenFound();
     return {kind: 'refused', reason: this.lastReason};
@@ -120,7 +128,8 @@
   }
 
   private retryAfter(error: StoreError): StepOutcome {
-    if (error.kind === 'limited') this.lastReason = 'claim-limited';
+    const isLimited = error.kind === 'limited';
+    this.lastReason = isLimited ? 'claim-limited' : 'claim-unavailable';
     // The same token is written again, so a delayed write does no harm.
     if (error.kind === 'ambiguous') this.mayHaveWritten = true;
     if (error.kind === 'rejected') this.lease.forget();
@@ -155,7 +164,7 @@
       key: this.key,
       afterRevision,
       timeoutMs: Math.max(1, Math.floor(deadline.getRemainingMs())),
-      signal: deadline.signal,
+      signal: deadline.toAbortSignal(),
     });
     if (change.isErr() || !change.value) {
       return {kind: 'unknown', reason: 'claim-held'};
--- a/packages/proxy/src/deadline.ts
+++ b/packages/proxy/src/deadline.ts
@@ -1,11 +1,14 @@
 /** The time limit of a request and its cancellation. */
 
+import {Cancellation} from './cancellation.js';
+
 /** Why a request was aborted. */
 export type AbortReason = 'deadline' | 'cancelled';
 
 /** Aborts its signal when the time is over or the caller has gone. */
 export class Deadline {
-  private readonly controller = new AbortController();
+  /** Aborted when the request must not go on. */
+  readonly cancellation = new Cancellation();
   private readonly timer: NodeJS.Timeout;
   private readonly endsAtMs: number;
   private reason: AbortReason | undefined;
@@ -15,11 +18,6 @@
     this.timer = setTimeout(() => this.abort('deadline'), timeoutMs);
   }
 
-  /** Aborted when the request must not go on. */
-  get signal(): AbortSignal {
-    return this.controller.signal;
-  }
-
   /** Why the signal was aborted. */
   getAbortReason(): AbortReason | undefined {
     return this.reason;
@@ -36,6 +34,14 @@
     this.abort('cancelled');
   }
 
+  /** Makes an AbortSignal for callees that take no {@link Cancellation}. */
+  toAbortSignal(): AbortSignal {
+    const controller = new AbortController();
+    if (this.cancellation.aborted) controller.abort();
+    else this.cancellation.once('abort', () => controller.abort());
+    return controller.signal;
+  }
+
   /** Releases the timer when the request is over. */
   dispose(): void {
     clearTimeout(this.timer);
@@ -45,6 +51,6 @@
     if (this.reason !== undefined) return;
     this.reason = reason;
     clearTimeout(this.timer);
-    this.controller.abort();
+    this.cancellation.abort();
   }
 }
--- a/packages/proxy/src/gate_client.ts
+++ b/packages/proxy/src/gate_client.ts
@@ -4,6 +4,7 @@
 import type {GateAddress} from '@cassiaknot/peer-protocol';
 import {Agent} from 'undici';
 import {holdBody} from './bodies.js';
+import {Cancellation} from './cancellation.js';
 import {
   CONNECT_TIMEOUT_MS,
   GATE_GRACE_MS,
@@ -81,7 +82,7 @@
   async call(call: GateCall): Promise<GateReply> {
     const remainingMs = call.deadline.getRemainingMs();
     if (remainingMs <= 0) return {outcome: notRun('deadline'), load: undefined};
-    const timeLimit = new AbortController();
+    const timeLimit = new Cancellation();
     const timer = setTimeout(
       () => timeLimit.abort(),
       remainingMs + GATE_GRACE_MS,
@@ -89,15 +90,15 @@
     const cancel = () => {
       if (call.deadline.getAbortReason() === 'cancelled') timeLimit.abort();
     };
-    call.deadline.signal.addEventListener('abort', cancel);
+    call.deadline.cancellation.once('abort', cancel);
     try {
-      return await this.exchange(call, remainingMs, timeLimit.signal);
+      return await this.exchange(call, remainingMs, timeLimit);
     } catch (error) {
-      const outcome = classifyFailure(error, call, timeLimit.signal.aborted);
+      const outcome = classifyFailure(error, call, timeLimit.aborted);
       return {outcome, load: undefined};
     } finally {
       clearTimeout(timer);
-      call.deadline.signal.removeEventListener('abort', cancel);
+      call.deadline.cancellation.off('abort', cancel);
     }
   }
 
@@ -109,7 +110,7 @@
   private async exchange(
     call: GateCall,
     remainingMs: number,
-    signal: AbortSignal,
+    signal: Cancellation,
   ): Promise<GateReply> {
     const response = await this.agent.request({
       origin: `http://${call.address}`,
--- a/packages/proxy/src/meter.ts
+++ b/packages/proxy/src/meter.ts
@@ -1,9 +1,9 @@
 /** Counters and latency histograms of the request path. */
 
-import type {Histogram} from 'hdr-histogram-js';
-import {build} from 'hdr-histogram-js';
 import {Counter, Gauge} from 'prom-client';
 import type {Registry} from 'prom-client';
+import type {LatencySummary} from './latency_window.js';
+import {LatencyWindow} from './latency_window.js';
 import type {NotRunReason, Outcome, UnknownReason} from './outcome.js';
 
 /** Where in the request path something was counted. */
@@ -16,22 +16,10 @@
 export type RetryRefusal =
   'budget' | 'deadline' | 'attempts' | 'nested' | 'no-other-target';
 
-/** Percentiles of a latency, in microseconds. */
-export interface LatencySummary {
-  readonly count: number;
-  readonly p50Us: number;
-  readonly p99Us: number;
-  readonly p999Us: number;
-  readonly maxUs: number;
-}
-
-const MAX_LATENCY_US = 600_000_000;
-const SIGNIFICANT_DIGITS = 2;
-
 /** Counts outcomes, refusals and retries by reason. */
 export class ProxyMeter {
-  private readonly totalUs = newHistogram();
-  private readonly addedUs = newHistogram();
+  private readonly total = new LatencyWindow();
+  private readonly added = new LatencyWindow();
   private readonly outcomes;
   private readonly retries;
   private readonly retryRefusals;
@@ -76,30 +64,30 @@
 
   /** Records an answered request's time and the part not spent in a target. */
   recordLatency(totalUs: number, targetUs: number): void {
-    this.totalUs.recordValue(Math.round(totalUs));
-    this.addedUs.recordValue(Math.round(Math.max(0, totalUs - targetUs)));
+    this.total.record(totalUs);
+    this.added.record(totalUs - targetUs);
   }
 
   /** Summarises the time that the mesh added to answered requests. */
   getAddedLatency(): LatencySummary {
-    return summarize(this.addedUs);
+    return this.added.summarize();
   }
 
   /** Summarises the whole time of answered requests. */
   getTotalLatency(): LatencySummary {
-    return summarize(this.totalUs);
+    return this.total.summarize();
   }
 
   private registerLatencies(registry: Registry): void {
-    const histograms = {added: this.addedUs, total: this.totalUs};
+    const windows = {added: this.added, total: this.total};
     new Gauge({
       name: 'cassiaknot_latency_microseconds',
       help: 'Latency percentiles of answered requests',
       labelNames: ['part', 'quantile'],
       registers: [registry],
       collect() {
-        for (const [part, histogram] of Object.entries(histograms)) {
-          const summary = summarize(histogram);
+        for (const [part, window] of Object.entries(windows)) {
+          const summary = window.summarize();
           this.set({part, quantile: '0.5'}, summary.p50Us);
           this.set({part, quantile: '0.99'}, summary.p99Us);
           this.set({part, quantile: '0.999'}, summary.p999Us);
@@ -108,21 +96,3 @@
     });
   }
 }
-
-function newHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: MAX_LATENCY_US,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-  });
-}
-
-function summarize(histogram: Histogram): LatencySummary {
-  return {
-    count: histogram.totalCount,
-    p50Us: histogram.getValueAtPercentile(50),
-    p99Us: histogram.getValueAtPercentile(99),
-    p999Us: histogram.getValueAtPercentile(99.9),
-    maxUs: histogram.maxValue,
-  };
-}
--- a/packages/proxy/src/slot_queue.ts
+++ b/packages/proxy/src/slot_queue.ts
@@ -128,10 +128,10 @@
   }
 
   private wait(request: SlotRequest): Promise<SlotDecision> {
-    const {signal} = request.deadline;
+    const {cancellation} = request.deadline;
     return new Promise(resolve => {
       const settle = (decision: SlotDecision) => {
-        signal.removeEventListener('abort', leave);
+        cancellation.off('abort', leave);
         resolve(decision);
       };
       const waiter: Waiter = {request, settle};
@@ -140,7 +140,7 @@
         const reason = getAbortRefusal(request.deadline);
         settle({kind: 'refused', reason});
       };
-      signal.addEventListener('abort', leave);
+      cancellation.once('abort', leave);
       this.waiters.push(waiter);
     });
   }
--- a/packages/proxy/src/target_client.ts
+++ b/packages/proxy/src/target_client.ts
@@ -65,7 +65,7 @@
         path: request.path,
         headers: [...request.headers],
         body: request.body.byteLength > 0 ? request.body : null,
-        signal: deadline.signal,
+        signal: deadline.cancellation,
       });
       const held = await holdBody(response.body, MAX_HELD_ANSWER_BYTES);
       const targetTimeUs = (performance.now() - startedAtMs) * 1_000;
--- /dev/null
+++ b/packages/test-support/src/bench/main.ts
@@ -0,0 +1,56 @@
+/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet`. */
+
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runConvergenceBench} from './convergence_bench.js';
+import {runFleetBench} from './fleet_bench.js';
+import {runLatencyBench} from './latency_bench.js';
+
+await yargs(hideBin(process.argv))
+  .scriptName('npm run bench --')
+  .command(
+    'latency',
+    'time added to a call',
+    builder =>
+      builder
+        .option('rate', {type: 'number', default: 1_280})
+        .option('duration-ms', {type: 'number', default: 10_000}),
+    async args => {
+      const {rate: callsPerSecond, durationMs} = args;
+      print(await runLatencyBench({callsPerSecond, durationMs}));
+    },
+  )
+  .command(
+    'convergence',
+    'time and bytes of a change',
+    builder =>
+      builder
+        .option('data-centres', {type: 'number', default: 4})
+        .option('daemons', {type: 'number', default: 8})
+        .option('changes', {type: 'number', default: 20}),
+    async args => {
+      const {changes, daemons: daemonsPerDataCentre, dataCentres} = args;
+      const options = {changes, daemonsPerDataCentre, dataCentres};
+      print(await runConvergenceBench(options));
+    },
+  )
+  .command(
+    'fleet',
+    'cost of the control plane by fleet size',
+    builder =>
+      builder
+        .option('sizes', {type: 'number', array: true, default: [64, 128, 256]})
+        .option('data-centres', {type: 'number', default: 16})
+        .option('duration-ms', {type: 'number', default: 10_000}),
+    async args => {
+      const {dataCentres, durationMs, sizes: fleetSizes} = args;
+      print(await runFleetBench({dataCentres, durationMs, fleetSizes}));
+    },
+  )
+  .demandCommand(1, 'Name a benchmark.')
+  .strict()
+  .parse();
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- a/packages/test-support/src/child_processes.ts
+++ b/packages/test-support/src/child_processes.ts
@@ -109,9 +109,9 @@
     return this.stderr;
   }
 
-  /** Process id while the process runs. */
-  getPid(): number | undefined {
-    return this.child?.pid;
+  /** Whether the process runs. */
+  isRunning(): boolean {
+    return isRunning(this.child);
   }
 
   /** Reads the daemon's status; undefined while it does not answer. */
@@ -187,7 +187,7 @@
 
   /** Whether the process runs. */
   isRunning(): boolean {
-    return this.child?.exitCode === null && this.child.signalCode === null;
+    return isRunning(this.child);
   }
 
   /** Sends a signal to the process. */
@@ -251,14 +251,16 @@
   }
 }
 
+function isRunning(child: ChildProcess | undefined): boolean {
+  return child?.exitCode === null && child.signalCode === null;
+}
+
 async function endChild(
   child: ChildProcess | undefined,
   signal: NodeJS.Signals,
 ): Promise<number | null> {
   if (!child) return null;
-  if (child.exitCode !== null || child.signalCode !== null) {
-    return child.exitCode;
-  }
+  if (!isRunning(child)) return child.exitCode;
   const exit = once(child, 'exit');
   child.kill(signal);
   await exit;
--- a/packages/test-support/src/store_stand_in.ts
+++ b/packages/test-support/src/store_stand_in.ts
@@ -64,6 +64,7 @@
   });
   private fault: StoreFault = NO_FAULT;
   private callCount = 0;
+  private byteCount = 0;
   private port = 0;
 
   /** Starts to listen. */
@@ -83,6 +84,11 @@
     return this.callCount;
   }
 
+  /** Bytes of all bodies received and sent. */
+  getByteCount(): number {
+    return this.byteCount;
+  }
+
   /** Switches a fault on or off; waiting watches break when it is `down`. */
   setFault(fault: StoreFault): void {
     this.fault = fault;
@@ -106,7 +112,9 @@
       request.socket.destroy();
       return;
     }
-    const body = await readJson(request);
+    const text = await readText(request);
+    this.byteCount += text.length;
+    const body: unknown = JSON.parse(text);
     if (fault.kind === 'slow') await delay(fault.delayMs);
     if (request.url === '/v3/watch') {
       await this.watch(body, response);
@@ -117,8 +125,10 @@
       request.socket.destroy();
       return;
     }
+    const answerText = JSON.stringify(answer ?? {});
+    this.byteCount += answerText.length;
     response.writeHead(answer === undefined ? 404 : 200);
-    response.end(JSON.stringify(answer ?? {}));
+    response.end(answerText);
   }
 
   private dispatch(url: string, body: unknown): Promise<unknown> {
@@ -213,7 +223,9 @@
     const found = change.unwrap();
     if (!found || response.destroyed) return;
     const events = [{type: 'PUT', kv: encodeKeyValue(found)}];
-    response.end(`${JSON.stringify({result: {events}})}\n`);
+    const line = `${JSON.stringify({result: {events}})}\n`;
+    this.byteCount += line.length;
+    response.end(line);
   }
 }
 
@@ -233,12 +245,12 @@
   };
 }
 
-async function readJson(request: IncomingMessage): Promise<unknown> {
+async function readText(request: IncomingMessage): Promise<string> {
   let text = '';
   for await (const chunk of request as AsyncIterable<Buffer>) {
     text += chunk.toString('utf8');
   }
-  return JSON.parse(text);
+  return text;
 }
 
 function delay(durationMs: number): Promise<void> {
