--- a/packages/coordination/src/actors/links_actor.ts
+++ b/packages/coordination/src/actors/links_actor.ts
@@ -15,24 +15,15 @@
 import type {MessageHandler} from './actor_support.js';
 import type {ControlContext} from './control_context.js';
 import {DialSchedule} from './dial_schedule.js';
-
-interface LinkState {
-  readonly linkId: LinkId;
-  readonly link: PeerLink;
-  /** Address dialled; undefined for an accepted link. */
-  readonly address: PeerAddress | undefined;
-  /** Set once the handshake is complete. */
-  peerId: InstanceId | undefined;
-  lastHeardMs: number;
-  surplusSinceMs: number | undefined;
-}
+import type {LinkState} from './link_table.js';
+import {LinkTable} from './link_table.js';
 
 const PART = 'links';
 const SURPLUS_GRACE_MS = 10_000;
 
 /** Handles the mailbox of the links. */
 export class LinksActor implements MessageHandler<LinksMessage> {
-  private readonly links = new Map<LinkId, LinkState>();
+  private readonly links = new LinkTable();
   private readonly schedule: DialSchedule;
   private readonly admission: AdmissionLimiter;
   private wanted: readonly WantedPeer[] = [];
@@ -63,7 +54,7 @@
         this.links.get(message.linkId)?.link.send(message.message);
         return;
       case 'broadcast':
-        this.broadcast(message.message, message.exceptLinkId);
+        this.links.broadcast(message.message, message.exceptLinkId);
         return;
       case 'set-wanted':
         this.wanted = message.wanted;
@@ -74,7 +65,7 @@
         return;
       case 'probe':
         this.nonce += 1;
-        this.broadcast({kind: 'probe', nonce: this.nonce}, undefined);
+        this.links.broadcast({kind: 'probe', nonce: this.nonce}, undefined);
         return;
       case 'tick':
         this.tick();
@@ -118,29 +109,20 @@
     link: PeerLink,
     address: PeerAddress | undefined,
   ): void {
-    const lastHeardMs = Date.now();
-    this.links.set(linkId, {
-      linkId,
-      link,
-      address,
-      peerId: undefined,
-      lastHeardMs,
-      surplusSinceMs: undefined,
-    });
+    this.links.add(linkId, link, address);
     if (address === undefined) return;
     link.send({kind: 'hello', ...this.getIdentity(), tip: this.getTip()});
   }
 
   private closeLink(linkId: LinkId, address: PeerAddress | undefined): void {
     if (address !== undefined) this.schedule.recordEnd(address);
-    const state = this.links.get(linkId);
+    const state = this.links.remove(linkId);
     if (!state) return;
-    this.links.delete(linkId);
     this.mismatched.delete(linkId);
     this.context.directory.replica.send({kind: 'peer-gone', linkId});
     this.reportLinkCount();
     const {peerId} = state;
-    if (peerId === undefined || this.findLinkTo(peerId)) return;
+    if (peerId === undefined || this.links.hasLinkTo(peerId)) return;
     this.context.options.observer.count('link-lost');
     const heldVersion = this.context.versionBook.getFloor(peerId);
     const {membership} = this.context.directory;
@@ -301,7 +283,7 @@
     const {fingerprint, crashCount, ttlMs} = message;
     const {quarantine} = this.context;
     if (!quarantine.learn(fingerprint, crashCount, ttlMs)) return;
-    this.broadcast(message, linkId);
+    this.links.broadcast(message, linkId);
   }
 
   private forwardTip(linkId: LinkId, tip: VersionMark): void {
@@ -311,20 +293,6 @@
     this.context.directory.replica.send({kind: 'peer-tip', linkId, tip});
   }
 
-  private broadcast(
-    message: PeerMessage,
-    exceptLinkId: LinkId | undefined,
-  ): void {
-    const sentTo = new Set<InstanceId>();
-    const excepted = exceptLinkId && this.links.get(exceptLinkId)?.peerId;
-    if (excepted) sentTo.add(excepted);
-    for (const {link, peerId} of this.links.values()) {
-      if (peerId === undefined || sentTo.has(peerId)) continue;
-      sentTo.add(peerId);
-      link.send(message);
-    }
-  }
-
   private tick(): void {
     this.forgiveOwnPause();
     this.sendHeartbeats();
@@ -341,9 +309,7 @@
     const pausedMs = nowMs - this.lastTickMs - heartbeatMs;
     this.lastTickMs = nowMs;
     if (pausedMs < heartbeatMs) return;
-    for (const state of this.links.values()) {
-      state.lastHeardMs = Math.min(nowMs, state.lastHeardMs + pausedMs);
-    }
+    this.links.forgivePause(pausedMs);
   }
 
   private sendHeartbeats(): void {
@@ -351,7 +317,7 @@
     const heldVersion = published.getConfiguration().state.version;
     const memberDigest = published.getMembership().digest;
     const tip = this.getTip();
-    this.broadcast(
+    this.links.broadcast(
       {kind: 'heartbeat', tip, heldVersion, memberDigest},
       undefined,
     );
@@ -360,7 +326,7 @@
   private closeSilentLinks(): void {
     const {observer, timing} = this.context.options;
     const horizonMs = Date.now() - timing.linkSilenceMs;
-    for (const state of this.links.values()) {
+    for (const state of this.links.getAll()) {
       if (state.lastHeardMs > horizonMs) continue;
       observer.count('link-silent');
       observer.log('info', PART, `Closed silent link to ${state.peerId}.`);
@@ -373,7 +339,7 @@
   private closeSurplusLinks(): void {
     const nowMs = Date.now();
     const wantedIds = new Set(this.wanted.map(peer => peer.instanceId));
-    for (const state of this.links.values()) {
+    for (const state of this.links.getAll()) {
       if (state.address === undefined || state.peerId === undefined) continue;
       if (wantedIds.has(state.peerId) || wantedIds.size === 0) {
         state.surplusSinceMs = undefined;
@@ -387,13 +353,13 @@
 
   private dialWanted(): void {
     for (const peer of this.wanted) {
-      if (!this.findLinkTo(peer.instanceId)) this.dial(peer.address);
+      if (!this.links.hasLinkTo(peer.instanceId)) this.dial(peer.address);
     }
   }
 
   private dialAll(addresses: readonly PeerAddress[]): void {
     for (const address of addresses) {
-      if (!this.hasLinkAt(address)) this.dial(address);
+      if (!this.links.hasLinkAt(address)) this.dial(address);
     }
   }
 
@@ -403,25 +369,8 @@
     this.context.options.transport.dial(address, this.newEvents(address));
   }
 
-  private findLinkTo(peerId: InstanceId): LinkState | undefined {
-    for (const state of this.links.values()) {
-      if (state.peerId === peerId) return state;
-    }
-    return undefined;
-  }
-
-  private hasLinkAt(address: PeerAddress): boolean {
-    for (const state of this.links.values()) {
-      if (state.address === address) return true;
-    }
-    return false;
-  }
-
   private reportLinkCount(): void {
-    let count = 0;
-    for (const state of this.links.values()) {
-      if (state.peerId !== undefined) count += 1;
-    }
+    const count = this.links.countPeers();
     this.context.directory.seeds.send({kind: 'links', count});
   }
 
--- a/packages/coordination/src/actors/membership_actor.ts
+++ b/packages/coordination/src/actors/membership_actor.ts
@@ -1,6 +1,6 @@
 /** Owns the member table: gossip, repair, failure claims and the own record. */
 
-import type {DataCentreId, InstanceId} from '@cassiaknot/inventory';
+import type {InstanceId} from '@cassiaknot/inventory';
 import type {
   MemberRecord,
   PeerMessage,
@@ -21,9 +21,9 @@
 import type {ControlContext} from './control_context.js';
 import type {FailureClaim} from './failure_detector.js';
 import {FailureDetector} from './failure_detector.js';
+import {RemoteLinks} from './remote_links.js';
 
 const PART = 'members';
-const REMOTE_ROTATE_MS = 5_000;
 
 /** Digests of both ends of a link at a beat. */
 interface DigestPair {
@@ -42,7 +42,7 @@
   private readonly detector: FailureDetector;
   private readonly news = new Map<InstanceId, PendingNews>();
   private readonly mismatches = new Map<LinkId, DigestPair>();
-  private readonly remoteUnlinkedSinceMs = new Map<DataCentreId, number>();
+  private readonly remoteLinks = new RemoteLinks();
   private plan: OverlayPlan | undefined;
   /** Whether the table can be trusted to rank candidates for roles. */
   private isSettled = false;
@@ -274,7 +274,11 @@
   private sendWanted(plan: OverlayPlan): void {
     const ids = new Set<InstanceId>(plan.neighbours);
     for (const id of this.detector.findUnlinked(plan.watched)) ids.add(id);
-    for (const id of this.chooseRemotePeers(plan)) ids.add(id);
+    const remotePeers = this.remoteLinks.choosePeers(
+      plan.remoteCandidates,
+      id => this.detector.isLinked(id),
+    );
+    for (const id of remotePeers) ids.add(id);
     const wanted: WantedPeer[] = [];
     for (const instanceId of ids) {
       const record = this.table.get(instanceId);
@@ -286,37 +290,14 @@
     this.context.directory.links.send({kind: 'set-wanted', wanted});
   }
 
-  private chooseRemotePeers(plan: OverlayPlan): InstanceId[] {
-    const nowMs = Date.now();
-    const chosen: InstanceId[] = [];
-    for (const [dataCentreId, candidates] of plan.remoteCandidates) {
-      const linked = candidates.find(id => this.detector.isLinked(id));
-      if (linked !== undefined) {
-        this.remoteUnlinkedSinceMs.delete(dataCentreId);
-        chosen.push(linked);
-        continue;
-      }
-      const sinceMs = this.remoteUnlinkedSinceMs.get(dataCentreId) ?? nowMs;
-      this.remoteUnlinkedSinceMs.set(dataCentreId, sinceMs);
-      const turn = Math.floor((nowMs - sinceMs) / REMOTE_ROTATE_MS);
-      const candidate = candidates[turn % candidates.length];
-      if (candidate !== undefined) chosen.push(candidate);
-    }
-    return chosen;
-  }
-
   // A reader tells its data centre which others it has had no link to.
   private reportUnreachable(): void {
     const {observer, timing} = this.context.options;
-    const horizonMs = Date.now() - timing.unreachableAfterMs;
-    const unreachable: DataCentreId[] = [];
-    for (const dataCentreId of this.plan?.remoteCandidates.keys() ?? []) {
-      const sinceMs = this.remoteUnlinkedSinceMs.get(dataCentreId);
-      if (sinceMs !== undefined && sinceMs < horizonMs) {
-        unreachable.push(dataCentreId);
-      }
-    }
-    unreachable.sort();
+    if (!this.plan) return;
+    const unreachable = this.remoteLinks.findUnreachable(
+      this.plan.remoteCandidates,
+      timing.unreachableAfterMs,
+    );
     if (unreachable.join() === (this.own.unreachable ?? []).join()) return;
     const names = unreachable.join(', ') || 'none';
     observer.log('warn', PART, `Unreachable data centres: ${names}.`);
@@ -342,7 +323,7 @@
     this.lastTickMs = nowMs;
     if (pausedMs < heartbeatMs) return;
     this.detector.forgivePause(pausedMs);
-    this.remoteUnlinkedSinceMs.clear();
+    this.remoteLinks.forgivePause();
   }
 
   private claimFailures(): void {
--- a/packages/test-support/src/bench/convergence_bench.ts
+++ b/packages/test-support/src/bench/convergence_bench.ts
@@ -11,6 +11,7 @@
 import {TestMesh} from '../test_mesh.js';
 import type {TableRow} from './table.js';
 import {formatTable, getQuantile, round} from './table.js';
+import {pause} from '../pause.js';
 
 /** Size of the measurement. */
 export interface ConvergenceBenchOptions {
@@ -192,7 +193,3 @@
     round(idle.storeCalls / (idle.durationMs / 1_000), 2),
   ];
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/test-support/src/bench/fleet_bench.ts
+++ b/packages/test-support/src/bench/fleet_bench.ts
@@ -7,6 +7,7 @@
 import {TestFleet} from '@cassiaknot/coordination/testing';
 import type {TableRow} from './table.js';
 import {formatTable, round} from './table.js';
+import {pause} from '../pause.js';
 
 /** Sizes of the measurement. */
 export interface FleetBenchOptions {
@@ -141,7 +142,3 @@
     return count === size;
   });
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/test-support/src/bench/latency_bench.ts
+++ b/packages/test-support/src/bench/latency_bench.ts
@@ -8,6 +8,7 @@
 import {SMALL_INVENTORY} from '../inventories.js';
 import {TestMesh} from '../test_mesh.js';
 import {formatTable, round} from './table.js';
+import {pause} from '../pause.js';
 
 /** Size of the measurement. */
 export interface LatencyBenchOptions {
@@ -40,7 +41,7 @@
       callsPerSecond: options.callsPerSecond,
       durationMs: (WARM_UP_CALLS / options.callsPerSecond) * 1_000,
     });
-    await new Promise(resolve => setTimeout(resolve, LATENCY_WINDOW_MS * 2));
+    await pause(LATENCY_WINDOW_MS * 2);
     const cpuBefore = await readCpuUs(mesh);
     const callsBefore = ledger.entries.length;
     await sendOpenLoop(mesh, ledger, options);
@@ -70,7 +71,7 @@
       const path = '/catalogue/x?size=1000';
       pending.push(ledger.call(entryUrl, {method: 'GET', path}));
     }
-    await new Promise(resolve => setTimeout(resolve, TICK_MS));
+    await pause(TICK_MS);
   }
   await Promise.all(pending);
 }
--- a/packages/test-support/src/child_processes.ts
+++ b/packages/test-support/src/child_processes.ts
@@ -15,6 +15,7 @@
   TargetRun,
   TargetStandInOptions,
 } from './targets/target_stand_in.js';
+import {pause} from './pause.js';
 
 /** How a daemon process is set up. */
 export interface DaemonProcessOptions {
@@ -223,7 +224,7 @@
   const endsAtMs = performance.now() + timeoutMs;
   while (!(await condition())) {
     if (performance.now() > endsAtMs) throw new Error(`Waited for: ${name}`);
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    await pause(POLL_MS);
   }
 }
 
--- a/packages/test-support/src/demo/main.ts
+++ b/packages/test-support/src/demo/main.ts
@@ -10,6 +10,7 @@
 import type {TargetProcess} from '../child_processes.js';
 import {SMALL_INVENTORY} from '../inventories.js';
 import {TestMesh} from '../test_mesh.js';
+import {pause} from '../pause.js';
 
 const INSTANCES = ['lautoka', 'nadi'].flatMap(dataCentreId =>
   ['catalogue', 'orders'].map(serviceId => ({
@@ -55,7 +56,7 @@
   const calls = [];
   for (let index = 0; index < CALLS_PER_STEP; index += 1) {
     calls.push(callNextEntry(index));
-    await new Promise(resolve => setTimeout(resolve, CALL_GAP_MS));
+    await pause(CALL_GAP_MS);
   }
   await Promise.all(calls);
   const answered = ledger.count('answered') - answeredBefore;
--- a/packages/test-support/src/store_stand_in.ts
+++ b/packages/test-support/src/store_stand_in.ts
@@ -11,6 +11,7 @@
 import type {KeyValue, LeaseId} from '@cassiaknot/platform';
 import {InMemoryStore, decodeBase64, encodeBase64} from '@cassiaknot/platform';
 import {z} from 'zod';
+import {pause} from './pause.js';
 
 /**
  * How the store misbehaves.
@@ -115,7 +116,7 @@
     const text = await readText(request);
     this.byteCount += text.length;
     const body: unknown = JSON.parse(text);
-    if (fault.kind === 'slow') await delay(fault.delayMs);
+    if (fault.kind === 'slow') await pause(fault.delayMs);
     if (request.url === '/v3/watch') {
       await this.watch(body, response);
       return;
@@ -252,7 +253,3 @@
   }
   return text;
 }
-
-function delay(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/packages/test-support/src/system/failures.test.ts
+++ b/packages/test-support/src/system/failures.test.ts
@@ -7,6 +7,7 @@
 import {SMALL_INVENTORY} from '../inventories.js';
 import type {InstanceOptions, TestInstance} from '../test_mesh.js';
 import {TestMesh} from '../test_mesh.js';
+import {pause} from '../pause.js';
 
 const FLEET: readonly InstanceOptions[] = ['lautoka', 'nadi'].flatMap(
   dataCentreId => [
@@ -15,10 +16,6 @@
   ],
 );
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
-
 describe('Mesh of processes', () => {
   let mesh: TestMesh;
   let caller: MeshCaller;
--- a/packages/test-support/src/system/request_fuzz.test.ts
+++ b/packages/test-support/src/system/request_fuzz.test.ts
@@ -7,6 +7,7 @@
 import {SMALL_INVENTORY} from '../inventories.js';
 import type {TestInstance} from '../test_mesh.js';
 import {TestMesh} from '../test_mesh.js';
+import {pause} from '../pause.js';
 
 const SEED = 20261204;
 const WORKERS = 12;
@@ -91,10 +92,6 @@
   }
 }
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, durationMs));
-}
-
 abstract class MeshCommand implements fc.AsyncCommand<Model, LoadedMesh> {
   constructor(
     protected readonly index: number,
--- a/packages/test-support/src/targets/target_stand_in.ts
+++ b/packages/test-support/src/targets/target_stand_in.ts
@@ -8,6 +8,7 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {request as sendRequest} from 'undici';
+import {pause} from '../pause.js';
 
 /** How a target stands in. */
 export interface TargetStandInOptions {
@@ -117,7 +118,7 @@
       return;
     }
     const delayMs = Number(query.get('delay') ?? 0);
-    if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs));
+    if (delayMs > 0) await pause(delayMs);
     this.answer(response, query, requestId, body);
   }
 
