Ask each gate once, and take a reset answer as cut

Change: one offer without a bound on the wait; a reset during an answer without a length makes it cut; repeats after a target's failure use a quarter of the budget, those after a loss half.

Ruled out: slow links, full accept queues (logs of all nodes show the loop).

--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -91,6 +91,9 @@
   'answer-cut',
   'answer-foreign',
 ]);
+/** Parts of the retry budget that repeats may use, by what they follow. */
+const LOSS_REPEAT_SHARE = 0.5;
+const FAILURE_REPEAT_SHARE = 0.25;
 /** First status of failures of the target itself. */
 const SERVER_FAILURE_STATUS = 500;
 const GATEWAY_TIMEOUT_STATUS = 504;
@@ -168,6 +171,7 @@
   private current: {link: GateLink; call: PendingCall} | undefined;
   private lastRefusal: RefusalReason = 'no-target';
   private isOver = false;
+  private hasAskedUnbounded = false;
 
   constructor(
     private readonly entry: Entry,
@@ -239,11 +243,13 @@
         return {link: best.target, maxWaitMs};
       }
     }
-    const link = this.takeLeastBusy();
+    if (this.hasAskedUnbounded) return undefined;
+    this.hasAskedUnbounded = true;
+    const link = this.findLeastBusy();
     return link && {link, maxWaitMs: remainingMs};
   }
 
-  private takeLeastBusy(): GateLink | undefined {
+  private findLeastBusy(): GateLink | undefined {
     let best: GateLink | undefined;
     let bestWaitMs = Infinity;
     for (const [link, waitMs] of this.busy) {
@@ -251,8 +257,6 @@
       best = link;
       bestWaitMs = waitMs;
     }
-    // Each gate is asked without a bound only once.
-    this.busy.clear();
     return best;
   }
 
@@ -344,7 +348,13 @@
       return false;
     }
     const nowMs = performance.now();
-    if (!retryWindow.trySpend(plan.serviceId, getMemberCount(), nowMs)) {
+    const memberCount = getMemberCount();
+    // A target's own failure often comes from a call that it made, which a
+    // repeat would make again; so such repeats get the smaller share.
+    const share =
+      outcome.kind === 'answered' ? FAILURE_REPEAT_SHARE : LOSS_REPEAT_SHARE;
+    const {serviceId} = plan;
+    if (!retryWindow.trySpend({serviceId, memberCount, share, nowMs})) {
       observer.count('retry-denied', 'budget');
       return false;
     }
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -2,7 +2,7 @@
 
 import {connect} from 'node:net';
 import type {Dispatcher} from 'undici';
-import {Client, Pool} from 'undici';
+import {Client, Pool, buildConnector} from 'undici';
 import {
   MAX_ANSWER_BYTES,
   SPARE_TARGET_CONNECTIONS,
@@ -60,22 +60,25 @@
 export class HttpTargetClient implements TargetClient {
   private readonly pool: Pool;
   private readonly origin: string;
+  private readonly clientOptions: Client.Options;
+  private resetCount = 0;
 
   constructor(
     private readonly address: string,
     slots: number,
   ) {
     this.origin = `http://${address}`;
+    this.clientOptions = {...CLIENT_OPTIONS, connect: this.newConnector()};
     this.pool = new Pool(this.origin, {
-      ...CLIENT_OPTIONS,
+      ...this.clientOptions,
       connections: slots + SPARE_TARGET_CONNECTIONS,
     });
   }
 
   async send(request: TargetRequest): Promise<TargetExchange> {
-    if (!request.usesFreshConnection) return exchange(this.pool, request);
-    const client = new Client(this.origin, CLIENT_OPTIONS);
-    const result = await exchange(client, request);
+    if (!request.usesFreshConnection) return this.exchange(this.pool, request);
+    const client = new Client(this.origin, this.clientOptions);
+    const result = await this.exchange(client, request);
     void client.destroy();
     return result;
   }
@@ -100,11 +103,41 @@
   close(): Promise<void> {
     return this.pool.destroy();
   }
+
+  // The library takes a reset as the end of an answer without a length.
+  private async exchange(
+    dispatcher: Dispatcher,
+    request: TargetRequest,
+  ): Promise<TargetExchange> {
+    const resetsBefore = this.resetCount;
+    const result = await exchange(dispatcher, request);
+    if (result.kind !== 'response' || isFramed(result.headers)) return result;
+    if (this.resetCount === resetsBefore) return result;
+    return {kind: 'lost', reason: 'answer-cut'};
+  }
+
+  private newConnector(): buildConnector.connector {
+    const connector = buildConnector({timeout: TARGET_CONNECT_TIMEOUT_MS});
+    return (options, callback) => {
+      connector(options, (...result) => {
+        result[1]?.on('error', () => {
+          this.resetCount += 1;
+        });
+        callback(...result);
+      });
+    };
+  }
+}
+
+function isFramed(headers: ResponseHeaders): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
 }
 
 const CLIENT_OPTIONS = {
   pipelining: 1,
-  connect: {timeout: TARGET_CONNECT_TIMEOUT_MS},
   headersTimeout: 0,
   bodyTimeout: 0,
   keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/packages/routing/src/retry_window.ts
+++ b/packages/routing/src/retry_window.ts
@@ -13,6 +13,20 @@
   readonly allowance: number;
 }
 
+/** A repeat that a member wants to send. */
+export interface RepeatRequest<K> {
+  readonly serviceId: K;
+  /** Members that share the allowance. */
+  readonly memberCount: number;
+  /**
+   * Part of the bound that may be used. The rest is for what can't be counted
+   * here: windows of members that do not align, and calls that targets make
+   * again while they run a repeat.
+   */
+  readonly share: number;
+  readonly nowMs: number;
+}
+
 interface Bucket {
   index: number;
   requests: number;
@@ -20,8 +34,6 @@
 }
 
 const BUCKETS_PER_WINDOW = 10;
-/** Part of the bound that is used; members' windows do not align. */
-const SAFETY_SHARE = 0.8;
 
 /** Counts requests and repeats by service. */
 export class RetryWindow<K> {
@@ -34,19 +46,20 @@
     this.getBucket(service, nowMs).requests += 1;
   }
 
-  /** Takes the right to one repeat; `memberCount` shares the allowance. */
-  trySpend(service: K, memberCount: number, nowMs: number): boolean {
-    const bucket = this.getBucket(service, nowMs);
+  /** Takes the right to one repeat. */
+  trySpend(request: RepeatRequest<K>): boolean {
+    const {serviceId, memberCount, share, nowMs} = request;
+    const bucket = this.getBucket(serviceId, nowMs);
     const {ratio, allowance} = this.options;
     let requests = 0;
     let repeats = 0;
-    for (const {index, ...counts} of this.buckets.get(service) ?? []) {
+    for (const {index, ...counts} of this.buckets.get(serviceId) ?? []) {
       if (index <= bucket.index - BUCKETS_PER_WINDOW) continue;
       requests += counts.requests;
       repeats += counts.repeats;
     }
     const fixed = allowance / Math.max(1, memberCount);
-    const bound = SAFETY_SHARE * (ratio * requests + fixed);
+    const bound = share * (ratio * requests + fixed);
     if (repeats + 1 > bound) return false;
     bucket.repeats += 1;
     return true;
