--- /dev/null
+++ b/packages/relay/src/entry.test.ts
@@ -0,0 +1,251 @@
+import type {PublishedConfiguration} from '@cassiaknot/coordination';
+import {SeededRandom} from '@cassiaknot/coordination';
+import type {
+  DataCentreId,
+  InstanceId,
+  InventoryRecord,
+  ServiceId,
+} from '@cassiaknot/inventory';
+import {
+  RECORD_SCHEMA,
+  brandId,
+  compileRouteTable,
+  newStateFromRecords,
+} from '@cassiaknot/inventory';
+import type {
+  GateAddress,
+  MemberRecord,
+  PeerAddress,
+  RelayFrame,
+  RelayFrameOf,
+  RelayLink,
+  RelayLinkEvents,
+} from '@cassiaknot/peer-protocol';
+import {RetryWindow} from '@cassiaknot/routing';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {CallerRequest} from './entry.js';
+import {Entry} from './entry.js';
+import {GateDirectory} from './gate_directory.js';
+import type {RelayObserver} from './observer.js';
+import type {RelayOutcome} from './outcome.js';
+
+const SEED = 20261204;
+const RUN_COUNT = 200;
+const GATE_COUNT = 4;
+const OWN = brandId<DataCentreId>('own');
+const SERVICE = brandId<ServiceId>('s');
+
+const OBSERVER: RelayObserver = {
+  decide: () => undefined,
+  count: () => undefined,
+  measure: () => undefined,
+};
+
+/** What a fake gate answers. */
+type Script = 'answer' | 'failure' | 'busy' | 'draining' | 'shed' | 'loss';
+
+/** Gates that answer by a script, in the order in which they are asked. */
+class FakeGates {
+  readonly offers: Array<{gate: string; offer: RelayFrameOf<'offer'>}> = [];
+
+  constructor(private readonly scripts: readonly Script[]) {}
+
+  dial(address: GateAddress, events: RelayLinkEvents): RelayLink {
+    const link: RelayLink = {
+      send: frame => {
+        if (frame.kind === 'ping') {
+          events.onFrame(link, {kind: 'pong', nonce: frame.nonce});
+        }
+        if (frame.kind === 'offer') {
+          const reply = this.reply(address, frame);
+          queueMicrotask(() => events.onFrame(link, reply));
+        }
+        return true;
+      },
+      close: () => undefined,
+      abort: () => undefined,
+    };
+    queueMicrotask(() => {
+      events.onOpen(link);
+      events.onFrame(link, {
+        kind: 'target-state',
+        serviceId: SERVICE,
+        isAccepting: true,
+        slots: 4,
+        coldMs: 0,
+      });
+    });
+    return link;
+  }
+
+  /** Scripts of the offers made so far. */
+  getPlayed(): Script[] {
+    return this.offers.map((_, index) => this.scripts[index] ?? 'answer');
+  }
+
+  private reply(gate: string, offer: RelayFrameOf<'offer'>): RelayFrame {
+    const script = this.scripts[this.offers.length] ?? 'answer';
+    this.offers.push({gate, offer});
+    const {callId} = offer;
+    const load = {waitMs: 50, runMs: 10};
+    const headers: string[] = [];
+    const answer = {kind: 'answer', callId, headers, ...load} as const;
+    const refusal = {kind: 'refusal', callId, ...load} as const;
+    const body = new Uint8Array();
+    switch (script) {
+      case 'answer':
+        return {...answer, statusCode: 200, body};
+      case 'failure':
+        return {...answer, statusCode: 500, body};
+      case 'busy':
+        return {...refusal, reason: 'overloaded', hasArrived: false};
+      case 'draining':
+        return {...refusal, reason: 'draining', hasArrived: false};
+      case 'shed':
+        return {...refusal, reason: 'target-refused', hasArrived: true};
+      case 'loss':
+        return {kind: 'loss', callId, reason: 'target-lost', ...load};
+    }
+  }
+}
+
+function newConfiguration(isIdempotent: boolean): PublishedConfiguration {
+  const records: InventoryRecord[] = [
+    {kind: 'owner', id: 'o', contact: 'c'},
+    {kind: 'data-centre', id: OWN, region: 'r'},
+    {kind: 'service', id: SERVICE, ownerId: 'o', dataCentreIds: [OWN]},
+    {
+      kind: 'rule',
+      id: 'r',
+      serviceId: SERVICE,
+      pathPrefix: '/',
+      isIdempotent,
+      maxAttempts: 2,
+      timeoutMs: 1_000,
+      latencyObjectiveMs: 400,
+    },
+  ].map(record => RECORD_SCHEMA.parse(record));
+  const state = newStateFromRecords(1, records);
+  return {state, routes: compileRouteTable(state)};
+}
+
+async function handle(
+  gates: FakeGates,
+  isIdempotent: boolean,
+): Promise<RelayOutcome> {
+  const directory = new GateDirectory({
+    self: brandId<InstanceId>('self'),
+    dataCentreId: OWN,
+    dial: (address, events) => gates.dial(address, events),
+    openOwn: () => {
+      throw new Error('No gate of its own');
+    },
+    random: new SeededRandom(1),
+    observer: OBSERVER,
+  });
+  directory.setMembers(
+    Array.from({length: GATE_COUNT}, (_, index): MemberRecord => {
+      const name = `g${index}`;
+      return {
+        instanceId: brandId<InstanceId>(name),
+        incarnation: 1,
+        state: 'serving',
+        dataCentreId: OWN,
+        peerAddress: brandId<PeerAddress>(`${name}:1`),
+        gateAddress: brandId<GateAddress>(`${name}:2`),
+        heldVersion: 1,
+      };
+    }),
+  );
+  await Promise.resolve();
+  const configuration = newConfiguration(isIdempotent);
+  const entry = new Entry({
+    getConfiguration: () => configuration,
+    mayRoute: () => true,
+    directory,
+    retryWindow: new RetryWindow({
+      windowMs: 10_000,
+      ratio: 0.2,
+      allowance: 100,
+    }),
+    getMemberCount: () => 1,
+    getCallerServiceId: () => 'caller',
+    observer: OBSERVER,
+    random: () => 0.5,
+  });
+  return entry.handle(newRequest());
+}
+
+function newRequest(): CallerRequest {
+  return {
+    requestId: 'r1',
+    method: 'POST',
+    host: 'h',
+    path: '/x',
+    headers: [],
+    body: new Uint8Array(),
+    deadlineMs: 1_000,
+    receivedAtMs: performance.now(),
+    signal: new AbortController().signal,
+  };
+}
+
+const ARRIVED: ReadonlySet<Script> = new Set([
+  'answer',
+  'failure',
+  'shed',
+  'loss',
+]);
+const RAN: ReadonlySet<Script> = new Set(['answer', 'failure', 'loss']);
+
+describe('Relay entry', () => {
+  it('all targets busy: asks each once and then refuses', async () => {
+    const gates = new FakeGates(Array<Script>(1_000).fill('busy'));
+    const outcome = await handle(gates, true);
+    expect(outcome).to.include({kind: 'refused', reason: 'overloaded'});
+    expect(gates.offers.length).to.equal(4);
+  });
+
+  it('one target busy: goes to the next at once', async () => {
+    const gates = new FakeGates(['busy', 'answer']);
+    expect((await handle(gates, false)).kind).to.equal('answered');
+    const names = gates.offers.map(({gate}) => gate);
+    expect(new Set(names).size).to.equal(2);
+  });
+
+  it('grey target: repeats a failed idempotent request elsewhere', async () => {
+    const gates = new FakeGates(['failure', 'answer']);
+    const outcome = await handle(gates, true);
+    expect(outcome).to.include({kind: 'answered', statusCode: 200});
+  });
+
+  it('never runs twice what may run once, nor denies a run', async () => {
+    const scripts = fc.constantFrom<Script>(
+      'answer',
+      'failure',
+      'busy',
+      'draining',
+      'shed',
+      'loss',
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(scripts, {maxLength: 8}),
+        fc.boolean(),
+        async (script, isIdempotent) => {
+          const gates = new FakeGates(script);
+          const outcome = await handle(gates, isIdempotent);
+          const played = gates.getPlayed();
+          const runs = played.filter(item => RAN.has(item)).length;
+          const arrivals = played.filter(item => ARRIVED.has(item)).length;
+          expect(arrivals).to.be.at.most(2);
+          if (!isIdempotent) expect(runs).to.be.at.most(1);
+          if (outcome.kind === 'refused') expect(runs).to.equal(0);
+          expect(played.length).to.be.at.most(GATE_COUNT + 1);
+        },
+      ),
+      {seed: SEED, numRuns: RUN_COUNT},
+    );
+  });
+});
--- /dev/null
+++ b/packages/relay/src/target_announcement.test.ts
@@ -0,0 +1,128 @@
+import {brandId} from '@cassiaknot/inventory';
+import type {ServiceId} from '@cassiaknot/inventory';
+import {expect} from 'chai';
+import type {RelayObserver} from './observer.js';
+import type {TargetAnnouncement} from './target_announcement.js';
+import type {TargetClient, TargetExchange} from './target_client.js';
+import {TargetSlot} from './target_slot.js';
+
+const ADDRESS = '10.0.0.1:80';
+
+const OBSERVER: RelayObserver = {
+  decide: () => undefined,
+  count: () => undefined,
+  measure: () => undefined,
+};
+
+class IdleClient implements TargetClient {
+  send(): Promise<TargetExchange> {
+    return new Promise(() => undefined);
+  }
+
+  probe(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function newSlot(): TargetSlot {
+  return new TargetSlot({
+    getAddress: () => ADDRESS,
+    newClient: () => new IdleClient(),
+    observer: OBSERVER,
+    onChange: () => undefined,
+  });
+}
+
+function newAnnouncement(
+  fields: Partial<TargetAnnouncement> = {},
+): TargetAnnouncement {
+  return {
+    targetId: 'a',
+    serviceId: brandId<ServiceId>('s'),
+    address: ADDRESS,
+    slots: 4,
+    state: 'ready',
+    coldMs: 0,
+    sequence: 1,
+    startedAtMs: 1_000,
+    ...fields,
+  };
+}
+
+describe('Target slot', () => {
+  it('ignores announcements that come late', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement({sequence: 5, slots: 4}));
+    const outcome = slot.announce(newAnnouncement({sequence: 4, slots: 9}));
+    expect(outcome).to.equal('stale');
+    expect(slot.getSession()?.getLoad().slots).to.equal(4);
+  });
+
+  it('ignores a beat of an earlier start at the same address', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement({targetId: 'b', startedAtMs: 2_000}));
+    const late = newAnnouncement({startedAtMs: 1_000, sequence: 99});
+    expect(slot.announce(late)).to.equal('stale');
+    const current = slot.getSession()?.getAnnouncement();
+    expect(current?.targetId).to.equal('b');
+  });
+
+  it('takes a new start under an old id, whose counts begin anew', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement({sequence: 50}));
+    slot.leave({targetId: 'a', startedAtMs: 1_000});
+    const restarted = newAnnouncement({startedAtMs: 3_000, sequence: 1});
+    expect(slot.announce(restarted)).to.equal('new-target');
+    expect(slot.getSession()?.getState()).to.equal('open');
+  });
+
+  it('ignores an announcement for another address', () => {
+    const slot = newSlot();
+    const forged = newAnnouncement({address: '10.0.0.2:80'});
+    expect(slot.announce(forged)).to.equal('other-address');
+    expect(slot.getSession()).to.equal(undefined);
+  });
+
+  it('never reopens a target that has begun to leave', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement());
+    slot.announce(newAnnouncement({sequence: 2, state: 'draining'}));
+    slot.announce(newAnnouncement({sequence: 3}));
+    expect(slot.getSession()?.getState()).to.equal('draining');
+  });
+
+  it('ends the target only at a leave of the same start', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement({startedAtMs: 2_000}));
+    expect(slot.leave({targetId: 'a', startedAtMs: 1_000})).to.equal(false);
+    expect(slot.getSession()?.getState()).to.equal('open');
+    expect(slot.leave({targetId: 'a', startedAtMs: undefined})).to.equal(true);
+    expect(slot.getSession()?.getState()).to.equal('draining');
+  });
+
+  it('takes up a probed target when its own announcement comes', () => {
+    const slot = newSlot();
+    const probed = newAnnouncement({
+      sequence: Number.MIN_SAFE_INTEGER,
+      startedAtMs: undefined,
+    });
+    slot.announce(probed);
+    const session = slot.getSession();
+    slot.announce(newAnnouncement());
+    expect(slot.getSession()).to.equal(session);
+    expect(session?.getAnnouncement().startedAtMs).to.equal(1_000);
+  });
+
+  it('opens again when a target that was down is heard of', () => {
+    const slot = newSlot();
+    slot.announce(newAnnouncement());
+    slot.getSession()?.markDown();
+    expect(slot.getSession()?.getState()).to.equal('down');
+    slot.announce(newAnnouncement({sequence: 2}));
+    expect(slot.getSession()?.getState()).to.equal('open');
+  });
+});
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -120,8 +120,9 @@
     const connector = buildConnector({timeout: TARGET_CONNECT_TIMEOUT_MS});
     return (options, callback) => {
       connector(options, (...result) => {
-        result[1]?.on('error', () => {
-          this.resetCount += 1;
+        result[1]?.on('error', error => {
+          // The library's own errors also mark an orderly end.
+          if (isErrorWith(error, 'syscall', 'read')) this.resetCount += 1;
         });
         callback(...result);
       });
