Do not ask again what a busy gate has just told

Change: an entry that heard a gate's wait less than 60 ms ago decides by that; a gate that can't serve in time is not asked again without a bound; at most 60 lines a second of one kind are logged. The request on its way is a module of its own. Ruled out: a slow link or target (log of the machine shows refusals only). Test: 'retry storm' in relay/entry.test.

--- a/packages/daemon/src/mesh/decision_log.ts
+++ b/packages/daemon/src/mesh/decision_log.ts
@@ -20,8 +20,8 @@
 }
 
 const WINDOW_MS = 1_000;
-/** Lines per second of one kind; a busy machine serves fewer requests. */
-const MAX_LINES_PER_WINDOW = 200;
+/** Lines per second of one kind, about a request each on a busy machine. */
+const MAX_LINES_PER_WINDOW = 60;
 
 /** Writes decisions. */
 export class DecisionLog {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -7,10 +7,11 @@
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
 import type {Dialect} from './dialect.js';
 import {CONNECTION_HEADERS} from './dialect.js';
-import type {CallerRequest, Entry} from './entry.js';
-import {describe} from './entry.js';
+import type {Entry} from './entry.js';
+import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
 import type {RelayOutcome} from './outcome.js';
+import {describe} from './outcome.js';
 
 /** Bounds on what callers may send. */
 export type CallerLimits = Omit<CallerLimitsRecord, 'kind' | 'id'>;
--- a/packages/relay/src/constants.ts
+++ b/packages/relay/src/constants.ts
@@ -12,6 +12,8 @@
 export const MAX_BOUNDED_OFFERS = 3;
 /** Part of the objective that may be spent waiting at a first choice. */
 export const BOUNDED_WAIT_SHARE = 0.2;
+/** Age up to which a wait that a gate told is taken for certain. */
+export const FRESH_REPORT_MS = 60;
 /** Connection time to the target beside the gate; the way is local. */
 export const TARGET_CONNECT_TIMEOUT_MS = 300;
 /** Time beyond the deadline for the target's own answer to arrive. */
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -22,10 +22,12 @@
   RelayLinkEvents,
 } from '@cassiaknot/peer-protocol';
 import {RetryWindow} from '@cassiaknot/routing';
+import type {Clock} from '@sinonjs/fake-timers';
+import FakeTimers from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import type {CallerRequest} from './entry.js';
 import {Entry} from './entry.js';
+import type {CallerRequest} from './entry_types.js';
 import {GateDirectory} from './gate_directory.js';
 import type {RelayObserver} from './observer.js';
 import type {RelayOutcome} from './outcome.js';
@@ -49,7 +51,10 @@
 class FakeGates {
   readonly offers: Array<{gate: string; offer: RelayFrameOf<'offer'>}> = [];
 
-  constructor(private readonly scripts: readonly Script[]) {}
+  constructor(
+    private readonly scripts: readonly Script[],
+    private readonly waitMs = 50,
+  ) {}
 
   dial(address: GateAddress, events: RelayLinkEvents): RelayLink {
     const link: RelayLink = {
@@ -88,7 +93,7 @@
     const script = this.scripts[this.offers.length] ?? 'answer';
     this.offers.push({gate, offer});
     const {callId} = offer;
-    const load = {waitMs: 50, runMs: 10};
+    const load = {waitMs: this.waitMs, runMs: 10};
     const headers: string[] = [];
     const answer = {kind: 'answer', callId, headers, ...load} as const;
     const refusal = {kind: 'refusal', callId, ...load} as const;
@@ -134,6 +139,14 @@
   gates: FakeGates,
   isIdempotent: boolean,
 ): Promise<RelayOutcome> {
+  const entry = await newEntry(gates, isIdempotent);
+  return entry.handle(newRequest());
+}
+
+async function newEntry(
+  gates: FakeGates,
+  isIdempotent: boolean,
+): Promise<Entry> {
   const directory = new GateDirectory({
     self: brandId<InstanceId>('self'),
     dataCentreId: OWN,
@@ -160,7 +173,7 @@
   );
   await Promise.resolve();
   const configuration = newConfiguration(isIdempotent);
-  const entry = new Entry({
+  return new Entry({
     getConfiguration: () => configuration,
     mayRoute: () => true,
     directory,
@@ -174,7 +187,6 @@
     observer: OBSERVER,
     random: () => 0.5,
   });
-  return entry.handle(newRequest());
 }
 
 function newRequest(): CallerRequest {
@@ -200,6 +212,13 @@
 const RAN: ReadonlySet<Script> = new Set(['answer', 'failure', 'loss']);
 
 describe('Relay entry', () => {
+  let clock: Clock | undefined;
+
+  afterEach(() => {
+    clock?.uninstall();
+    clock = undefined;
+  });
+
   it('all targets busy: asks each once and then refuses', async () => {
     const gates = new FakeGates(Array<Script>(1_000).fill('busy'));
     const outcome = await handle(gates, true);
@@ -207,6 +226,21 @@
     expect(gates.offers.length).to.equal(4);
   });
 
+  it('retry storm: does not ask again what busy gates have just told', async () => {
+    clock = FakeTimers.install({toFake: ['performance']});
+    const gates = new FakeGates(Array<Script>(1_000).fill('busy'), 2_000);
+    const entry = await newEntry(gates, true);
+    // The first request asks three gates, the second the one that is left.
+    await entry.handle(newRequest());
+    await entry.handle(newRequest());
+    const asked = gates.offers.length;
+    for (let index = 0; index < 50; index += 1) {
+      const outcome = await entry.handle(newRequest());
+      expect(outcome).to.include({kind: 'refused', reason: 'overloaded'});
+    }
+    expect(gates.offers.length).to.equal(asked);
+  });
+
   it('one target busy: goes to the next at once', async () => {
     const gates = new FakeGates(['busy', 'answer']);
     expect((await handle(gates, false)).kind).to.equal('answered');
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -22,7 +22,12 @@
 export type GateReply =
   | RelayFrameOf<'answer'>
   | RelayFrameOf<'refusal'>
-  | {readonly kind: 'loss'; readonly reason: LossReason};
+  | {
+      readonly kind: 'loss';
+      readonly reason: LossReason;
+      /** Left out where the link itself was lost. */
+      readonly waitMs?: number;
+    };
 
 /** An offer before it is given a call id. */
 export type NewOffer = Omit<RelayFrameOf<'offer'>, 'kind' | 'callId'>;
@@ -35,9 +40,18 @@
 
 interface Pending {
   readonly isIdempotent: boolean;
+  readonly urgency: number;
   readonly settle: (reply: GateReply) => void;
 }
 
+/** A wait as a gate told it. */
+interface WaitReport {
+  readonly waitMs: number;
+  readonly atMs: number;
+}
+
+const NO_REPORT: WaitReport = {waitMs: 0, atMs: 0};
+
 /** Half-life of the memory of failures. */
 const FAILURE_HALF_LIFE_MS = 3_000;
 /** Weight of one outcome in the share of failures. */
@@ -56,8 +70,8 @@
   private lastHeardMs = 0;
   private pingedAtMs: number | undefined;
   private coldUntilMs = 0;
-  private waitMs = 0;
-  private reportedAtMs = 0;
+  /** Waits that the gate told, by urgency. */
+  private readonly waits = new Map<number, WaitReport>();
   private unreported = 0;
   private failureShare = 0;
   private failureAtMs = 0;
@@ -104,9 +118,9 @@
   offer(offer: NewOffer): PendingCall {
     this.callCount += 1;
     const callId = brandId<CallId>(this.callCount.toString(36));
-    const {isIdempotent} = offer;
+    const {isIdempotent, urgency} = offer;
     const reply = new Promise<GateReply>(resolve => {
-      this.pending.set(callId, {isIdempotent, settle: resolve});
+      this.pending.set(callId, {isIdempotent, urgency, settle: resolve});
       this.unreported += 1;
       const isSent = this.link?.send({kind: 'offer', callId, ...offer});
       if (isSent !== true) this.settle(callId, NOT_SENT);
@@ -140,16 +154,17 @@
   }
 
   /** What is known of the target, for a choice. */
-  estimate(ruleId: RuleId): TargetEstimate<GateLink> {
+  estimate(ruleId: RuleId, urgency: number): TargetEstimate<GateLink> {
     const nowMs = performance.now();
+    const report = this.waits.get(urgency) ?? NO_REPORT;
     return {
       target: this,
       isLocal: this.isLocal,
       isSuspect: this.isSuspect(),
       slots: this.target?.slots ?? 1,
       runMs: this.runMeans.get(ruleId),
-      reportedWaitMs: this.waitMs,
-      reportAgeMs: nowMs - this.reportedAtMs,
+      reportedWaitMs: report.waitMs,
+      reportAgeMs: nowMs - report.atMs,
       unreported: this.unreported,
       isCold: nowMs < this.coldUntilMs,
       failureShare: this.getFailureShare(nowMs),
@@ -209,7 +224,6 @@
       case 'answer':
       case 'refusal':
       case 'loss':
-        this.learnLoad(frame.waitMs);
         this.settle(frame.callId, toReply(frame));
         return;
       case 'target-state':
@@ -227,15 +241,17 @@
     if (runMs >= 0) this.runMeans.record(ruleId, runMs);
   }
 
-  private learnLoad(waitMs: number): void {
-    this.waitMs = waitMs;
-    this.reportedAtMs = this.lastHeardMs;
+  private learnLoad(urgency: number, waitMs: number): void {
+    this.waits.set(urgency, {waitMs, atMs: this.lastHeardMs});
   }
 
   private settle(callId: CallId, reply: GateReply): void {
     const call = this.pending.get(callId);
     if (!call) return;
     this.pending.delete(callId);
+    if (reply.waitMs !== undefined) {
+      this.learnLoad(call.urgency, reply.waitMs);
+    }
     this.unreported = Math.max(0, this.unreported - 1);
     call.settle(reply);
   }
@@ -279,7 +295,8 @@
   frame: RelayFrameOf<'answer' | 'refusal' | 'loss'>,
 ): GateReply {
   if (frame.kind !== 'loss') return frame;
-  return {kind: 'loss', reason: toLossReason(frame.reason)};
+  const {waitMs} = frame;
+  return {kind: 'loss', reason: toLossReason(frame.reason), waitMs};
 }
 
 const GATE_LOSS_REASONS: readonly LossReason[] = [
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -12,5 +12,7 @@
 export * from './local_link.js';
 export * from './gate_link.js';
 export * from './gate_directory.js';
+export * from './entry_types.js';
 export * from './entry.js';
+export * from './routed_request.js';
 export * from './caller_server.js';
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -73,3 +73,28 @@
 export function toRefusalReason(text: string): RefusalReason {
   return GATE_REFUSALS.find(reason => reason === text) ?? 'no-target';
 }
+
+/** Makes the outcome of a request that was not run. */
+export function refuse(
+  reason: RefusalReason,
+  retryAfterMs: number,
+): RelayOutcome {
+  return {kind: 'refused', reason, retryAfterMs};
+}
+
+/** Names what decided an outcome, for logs and counters. */
+export function describe(
+  outcome: RelayOutcome,
+): Readonly<Record<string, string | number>> {
+  switch (outcome.kind) {
+    case 'answered':
+      return {reason: `status-${outcome.statusCode}`};
+    case 'refused':
+      return {
+        reason: outcome.reason,
+        retryAfterMs: Math.round(outcome.retryAfterMs),
+      };
+    case 'lost':
+      return {reason: outcome.reason};
+  }
+}
