Pass an answer without a length on as such

Change: the gate says whether the answer was framed; if not, the caller gets it without a length and with the connection closed behind it.

--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -74,6 +74,8 @@
   statusCode: z.number().int(),
   headers: TEXTS_SCHEMA,
   body: BYTES_SCHEMA,
+  /** Whether the target stated where its answer ends. */
+  isFramed: z.boolean(),
   ...LOAD_FIELDS,
 });
 
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -10,7 +10,7 @@
 import type {Entry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
-import type {RelayOutcome} from './outcome.js';
+import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
 import {describe} from './outcome.js';
 
 /** Bounds on what callers may send. */
@@ -173,16 +173,13 @@
     caller: CallerRequest,
     outcome: RelayOutcome,
   ): void {
-    if (this.isClosing) response.setHeader('connection', 'close');
+    if (this.isClosing && outcome.kind !== 'answered') {
+      response.setHeader('connection', 'close');
+    }
     switch (outcome.kind) {
-      case 'answered': {
-        const {statusCode, headers, body} = outcome;
-        const length =
-          caller.method === 'HEAD' ? [] : ['Content-Length', body.byteLength];
-        response.writeHead(statusCode, [...headers, ...length].map(String));
-        response.end(body);
+      case 'answered':
+        this.writeAnswer(response, caller, outcome);
         return;
-      }
       case 'refused': {
         const isUnknownRoute = outcome.reason === 'no-route';
         response.statusCode = isUnknownRoute ? 404 : 503;
@@ -200,6 +197,27 @@
     }
   }
 
+  // An answer without a length stays one: its end proves nothing, and a length
+  // would vouch for what the target may have cut.
+  private writeAnswer(
+    response: ServerResponse,
+    caller: CallerRequest,
+    answer: AnsweredOutcome,
+  ): void {
+    const {statusCode, body} = answer;
+    const headers = [...answer.headers];
+    if (!answer.isFramed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      headers.push('Connection', 'close');
+    } else if (caller.method !== 'HEAD') {
+      headers.push('Content-Length', String(body.byteLength));
+    }
+    if (this.isClosing && answer.isFramed) headers.push('Connection', 'close');
+    response.writeHead(statusCode, headers);
+    response.end(body);
+  }
+
   private reject(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -95,7 +95,13 @@
     const {callId} = offer;
     const load = {waitMs: this.waitMs, runMs: 10};
     const headers: string[] = [];
-    const answer = {kind: 'answer', callId, headers, ...load} as const;
+    const answer = {
+      kind: 'answer',
+      callId,
+      headers,
+      isFramed: true,
+      ...load,
+    } as const;
     const refusal = {kind: 'refusal', callId, ...load} as const;
     const body = new Uint8Array();
     switch (script) {
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -20,6 +20,7 @@
 import type {RelayObserver} from './observer.js';
 import type {LossReason, RefusalReason} from './outcome.js';
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
+import {isFramed} from './target_client.js';
 import type {TargetSession} from './target_session.js';
 import type {TargetSlot} from './target_slot.js';
 
@@ -285,6 +286,7 @@
           statusCode,
           headers: flattenHeaders(headers, dialect.withheldAnswerHeaders),
           body,
+          isFramed: isFramed(headers),
           ...this.getLoadFields(session, offer),
         });
         return;
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -37,6 +37,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Whether the target stated where its answer ends. */
+  readonly isFramed: boolean;
 }
 
 /** The request was not run and will not be. */
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -207,13 +207,13 @@
     link: GateLink,
     reply: RelayFrameOf<'answer'>,
   ): RelayOutcome {
-    const {statusCode, headers, body, runMs} = reply;
+    const {statusCode, headers, body, isFramed, runMs} = reply;
     const {ruleId} = this.plan;
     this.arrivals += 1;
     link.recordOutcome(statusCode >= SERVER_FAILURE_STATUS);
     link.learnRun(ruleId, runMs);
     if (runMs >= 0) this.entry.usualRuns.record(ruleId, runMs);
-    return {kind: 'answered', statusCode, headers, body};
+    return {kind: 'answered', statusCode, headers, body, isFramed};
   }
 
   private judgeRefusal(
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -130,7 +130,8 @@
   }
 }
 
-function isFramed(headers: ResponseHeaders): boolean {
+/** Whether an answer states where it ends. */
+export function isFramed(headers: ResponseHeaders): boolean {
   return (
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined
