Let readers hear from the store first; begin no hopeless run

In a storm each reader that heard a peer a little earlier than the store fetched the document from another data centre, whole where their histories differ. Requests with less left than a run takes were still offered (deadline of 47 ms, run 170 ms).

--- a/packages/coordination/src/actors/replica_actor.ts
+++ b/packages/coordination/src/actors/replica_actor.ts
@@ -29,6 +29,7 @@
   private fetch: Fetch | undefined;
   private fetchCount = 0;
   private needsSnapshot = false;
+  private isFetchScheduled = false;
 
   constructor(private readonly context: ControlContext) {}
 
@@ -46,6 +47,10 @@
       case 'store-catch-up':
         this.takeCatchUp(message.catchUp);
         return;
+      case 'fetch-due':
+        this.isFetchScheduled = false;
+        this.fetchNext();
+        return;
       case 'fetch-timeout':
         this.expireFetch(message.fetchNumber);
         return;
@@ -60,7 +65,17 @@
     }
     if (tip.version <= own.version) return;
     this.announcers.set(linkId, tip);
-    this.fetchNext();
+    const {fetchDelayMs} = this.context.options.timing;
+    // A process that holds nothing yet has no time to lose.
+    if (fetchDelayMs === 0 || own.version === 0) this.fetchNext();
+    else this.scheduleFetch(fetchDelayMs);
+  }
+
+  private scheduleFetch(delayMs: number): void {
+    if (this.isFetchScheduled) return;
+    this.isFetchScheduled = true;
+    const {replica} = this.context.directory;
+    setTimeout(() => replica.send({kind: 'fetch-due'}), delayMs);
   }
 
   private receivePeerMessage(
@@ -107,7 +122,7 @@
       case 'stale':
         break;
     }
-    this.fetchNext();
+    if (!this.isFetchScheduled) this.fetchNext();
   }
 
   private publish(from: LinkId | undefined, isInstalled: boolean): void {
--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -48,6 +48,8 @@
   readonly selfDoubtMs: number;
   /** Time for which a dead member is redialled. */
   readonly redialDeadMs: number;
+  /** Time to wait for the store's own word before a peer is asked. */
+  readonly fetchDelayMs: number;
   /** Time a peer has to send the changes it was asked for. */
   readonly fetchTimeoutMs: number;
   /** Time limit of one watch on the store. */
@@ -88,6 +90,7 @@
   buryAfterMs: 3_000,
   selfDoubtMs: 10_000,
   redialDeadMs: 600_000,
+  fetchDelayMs: 0,
   fetchTimeoutMs: 400,
   watchTimeoutMs: 30_000,
   joinTimeoutMs: 5_000,
--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -64,6 +64,9 @@
   buryAfterMs: 2_000,
   selfDoubtMs: 5_000,
   redialDeadMs: 600_000,
+  // Readers hear of a change from the store within tens of milliseconds; a
+  // document between data centres costs more than the wait.
+  fetchDelayMs: 250,
   fetchTimeoutMs: 300,
   // A connection to the store that went silent is noticed within this time.
   watchTimeoutMs: 4_000,
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -5,7 +5,11 @@
 
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {TargetEstimate} from '@cassiaknot/routing';
-import {INITIAL_WORK_SHARE, rankTargets} from '@cassiaknot/routing';
+import {
+  INITIAL_WORK_SHARE,
+  MIN_WORK_SHARE,
+  rankTargets,
+} from '@cassiaknot/routing';
 import {
   BOUNDED_WAIT_SHARE,
   FRESH_REPORT_MS,
@@ -100,6 +104,12 @@
     const {plan, entry} = this;
     const remainingMs = this.getRemainingMs();
     if (this.isOver || remainingMs <= 0) return undefined;
+    const usualRunMs =
+      entry.usualRuns.get(plan.ruleId) ?? plan.objectiveMs * INITIAL_WORK_SHARE;
+    if (remainingMs < MIN_WORK_SHARE * usualRunMs) {
+      this.lastRefusal = 'deadline';
+      return undefined;
+    }
     if (this.offers < MAX_BOUNDED_OFFERS) {
       const estimates = entry.options.directory
         .findAccepting(plan.serviceId)
@@ -107,8 +117,6 @@
         .map(link => link.estimate(plan.ruleId, plan.urgency))
         .filter(estimate => !this.isSurelyBusy(estimate));
       const {objectiveMs} = plan;
-      const usualRunMs =
-        entry.usualRuns.get(plan.ruleId) ?? objectiveMs * INITIAL_WORK_SHARE;
       const [best] = rankTargets(estimates, {usualRunMs, objectiveMs});
       if (best) {
         const maxWaitMs =
--- a/packages/routing/src/slot_scheduler.test.ts
+++ b/packages/routing/src/slot_scheduler.test.ts
@@ -126,6 +126,12 @@
     expect(inTime / recorder.jobs.length).to.be.above(0.7);
   });
 
+  it('short deadline: begins no run that would most likely be cut', () => {
+    const recorder = new Recorder(new SlotScheduler(1));
+    expect(recorder.offer({deadlineAtMs: 30}).state).to.equal('refused');
+    expect(recorder.offer({deadlineAtMs: 60}).state).to.equal('started');
+  });
+
   it('lost target: nothing waits behind it', () => {
     const recorder = new Recorder(new SlotScheduler(1));
     for (let index = 0; index < 5; index += 1) recorder.offer();
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -5,6 +5,8 @@
  * late instead of all; of these the one that came first.
  */
 
+import {MIN_WORK_SHARE} from './constants.js';
+
 /** Why a job was not started. */
 export type RefusalReason = 'overloaded' | 'deadline' | 'closed';
 
@@ -51,7 +53,7 @@
   offer(job: Job, nowMs: number): OfferResult {
     if (this.isClosed) return {kind: 'refused', reason: 'closed'};
     if (this.running.size < this.slots && this.waiting.length === 0) {
-      if (job.deadlineAtMs <= nowMs) {
+      if (isHopeless(job, nowMs)) {
         return {kind: 'refused', reason: 'deadline'};
       }
       this.start(job, nowMs);
@@ -135,7 +137,7 @@
       const [job] = this.getServingOrder(nowMs);
       if (!job) return;
       this.cancel(job);
-      if (nowMs >= job.deadlineAtMs) job.refuse('deadline');
+      if (isHopeless(job, nowMs)) job.refuse('deadline');
       else this.start(job, nowMs);
     }
   }
@@ -165,3 +167,8 @@
 function isInTime(job: Job, nowMs: number): boolean {
   return nowMs + job.workMs <= job.objectiveAtMs;
 }
+
+// A run that would most likely be cut by its deadline only takes a slot.
+function isHopeless(job: Job, nowMs: number): boolean {
+  return nowMs + MIN_WORK_SHARE * job.workMs >= job.deadlineAtMs;
+}
