Read a storm of changes from the store alone

Cause: the delay before a fetch came without its test. Change: a delayed fetch asks only for a version that its delay was for; the test makes the store's answers reach the data centres 20 ms apart.

--- a/packages/coordination/src/actors/actor_messages.ts
+++ b/packages/coordination/src/actors/actor_messages.ts
@@ -113,7 +113,7 @@
   | {readonly kind: 'peer-gone'; readonly linkId: LinkId}
   | {readonly kind: 'store-catch-up'; readonly catchUp: CatchUp}
   /** The store has had its time to tell of a version that peers hold. */
-  | {readonly kind: 'fetch-due'}
+  | {readonly kind: 'fetch-due'; readonly version: number}
   | {readonly kind: 'fetch-timeout'; readonly fetchNumber: number};
 
 /** Messages to the reader actor. */
--- a/packages/coordination/src/actors/replica_actor.ts
+++ b/packages/coordination/src/actors/replica_actor.ts
@@ -48,8 +48,7 @@
         this.takeCatchUp(message.catchUp);
         return;
       case 'fetch-due':
-        this.isFetchScheduled = false;
-        this.fetchNext();
+        this.fetchOverdue(message.version);
         return;
       case 'fetch-timeout':
         this.expireFetch(message.fetchNumber);
@@ -68,14 +67,29 @@
     const {fetchDelayMs} = this.context.options.timing;
     // A process that holds nothing yet has no time to lose.
     if (fetchDelayMs === 0 || own.version === 0) this.fetchNext();
-    else this.scheduleFetch(fetchDelayMs);
+    else this.scheduleFetch(tip.version);
   }
 
-  private scheduleFetch(delayMs: number): void {
+  private scheduleFetch(version: number): void {
     if (this.isFetchScheduled) return;
     this.isFetchScheduled = true;
     const {replica} = this.context.directory;
-    setTimeout(() => replica.send({kind: 'fetch-due'}), delayMs);
+    const {fetchDelayMs} = this.context.options.timing;
+    setTimeout(() => replica.send({kind: 'fetch-due', version}), fetchDelayMs);
+  }
+
+  // The store may have told of that version meanwhile and peers of newer ones,
+  // which then have their own time to arrive.
+  private fetchOverdue(version: number): void {
+    this.isFetchScheduled = false;
+    const own = this.replica.getTip();
+    if (own.version < version) {
+      this.fetchNext();
+      return;
+    }
+    for (const tip of this.announcers.values()) {
+      if (tip.version > own.version) this.scheduleFetch(tip.version);
+    }
   }
 
   private receivePeerMessage(
--- a/packages/coordination/src/coordinator.test.ts
+++ b/packages/coordination/src/coordinator.test.ts
@@ -5,7 +5,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {isLiveState} from './member_table.js';
-import {DEFAULT_OVERLAY} from './coordinator_options.js';
+import {DEFAULT_OVERLAY, DEFAULT_TIMING} from './coordinator_options.js';
 import type {TestSlot} from './testing/test_fleet.js';
 import {TestFleet} from './testing/test_fleet.js';
 
@@ -23,8 +23,10 @@
 async function startFleet(
   clock: InstalledClock,
   slotsPerDataCentre: number,
+  fetchDelayMs = DEFAULT_TIMING.fetchDelayMs,
 ): Promise<TestFleet> {
-  const fleet = new TestFleet(SEED);
+  const timing = {...DEFAULT_TIMING, fetchDelayMs};
+  const fleet = new TestFleet(SEED, DEFAULT_OVERLAY, timing);
   for (const dataCentre of DATA_CENTRES) {
     fleet.addSlots(dataCentre, slotsPerDataCentre);
   }
@@ -69,6 +71,33 @@
     expect(getVersions(fleet)).to.deep.equal(Array(12).fill(version));
   });
 
+  it('change storm: readers take each change from the store alone', async () => {
+    fleet = await startFleet(clock, 2, 250);
+    for (const [index, id] of DATA_CENTRES.entries()) {
+      fleet.storeLagMs.set(id, 1 + 20 * index);
+    }
+    // A process that holds nothing yet may ask at once.
+    let version = await fleet.commit();
+    await clock.tickAsync(1_000);
+    const before = fleet.events.get('fetch-sent') ?? 0;
+    for (let index = 0; index < 20; index += 1) {
+      version = await fleet.commit();
+      await clock.tickAsync(100);
+    }
+    await clock.tickAsync(1_000);
+    expect(getVersions(fleet)).to.deep.equal(Array(6).fill(version));
+    expect(fleet.events.get('fetch-sent') ?? 0).to.equal(before);
+  });
+
+  it('asks a peer where the store has not told in time', async () => {
+    fleet = await startFleet(clock, 2, 250);
+    const [cut = brandId<DataCentreId>('')] = DATA_CENTRES;
+    fleet.cutFromStore.add(cut);
+    const version = await fleet.commit();
+    await clock.tickAsync(1_500);
+    expect(getVersions(fleet)).to.deep.equal(Array(6).fill(version));
+  });
+
   it('lets every daemon know every other one', async () => {
     fleet = await startFleet(clock, 4);
     await clock.tickAsync(SETTLE_MS);
--- a/packages/coordination/src/testing/test_fleet.ts
+++ b/packages/coordination/src/testing/test_fleet.ts
@@ -16,6 +16,7 @@
 import type {
   CoordinationEvent,
   OverlayOptions,
+  TimingOptions,
 } from '../coordinator_options.js';
 import {DEFAULT_OVERLAY, DEFAULT_TIMING} from '../coordinator_options.js';
 import {LogSource} from '../configuration_source.js';
@@ -37,12 +38,15 @@
   readonly events = new Map<CoordinationEvent, number>();
   /** Data centres that can't reach the store. */
   readonly cutFromStore = new Set<DataCentreId>();
+  /** Time that the store's answers take to a data centre. */
+  readonly storeLagMs = new Map<DataCentreId, number>();
   private commitCount = 0;
   private startCount = 0;
 
   constructor(
     private readonly seed: number,
     private readonly overlay: OverlayOptions = DEFAULT_OVERLAY,
+    private readonly timing: TimingOptions = DEFAULT_TIMING,
   ) {}
 
   /** Adds empty slots to a data centre. */
@@ -65,8 +69,10 @@
   async start(slot: TestSlot): Promise<void> {
     this.startCount += 1;
     const {dataCentreId, instanceId, peerAddress} = slot;
-    const store = new FaultyStore(this.store, () =>
-      this.cutFromStore.has(dataCentreId) ? 'unavailable' : 'none',
+    const store = new FaultyStore(
+      this.store,
+      () => (this.cutFromStore.has(dataCentreId) ? 'unavailable' : 'none'),
+      call => this.answerLate(dataCentreId, call),
     );
     const coordinator = new Coordinator({
       identity: {
@@ -76,7 +82,7 @@
         gateAddress: brandId<GateAddress>(`${instanceId}:2`),
       },
       overlay: this.overlay,
-      timing: DEFAULT_TIMING,
+      timing: this.timing,
       transport: this.network.newTransport(peerAddress),
       store,
       source: new LogSource(store),
@@ -95,6 +101,18 @@
     await coordinator.start();
   }
 
+  private async answerLate<T>(
+    dataCentreId: DataCentreId,
+    call: () => Promise<T>,
+  ): Promise<T> {
+    const answer = await call();
+    const lagMs = this.storeLagMs.get(dataCentreId);
+    if (lagMs !== undefined) {
+      await new Promise(resolve => setTimeout(resolve, lagMs));
+    }
+    return answer;
+  }
+
   /** Ends the process in a slot without a word. */
   crash(slot: TestSlot): void {
     const {coordinator} = slot;
