--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -39,9 +39,10 @@
   readonly identifyTarget: (
     healthPath: string,
   ) => Promise<TargetAnnouncement | undefined>;
-  /** Health path of the service beside this process. */
   readonly log: DecisionLog;
+  /** Log lines left out because nobody read the output. */
   readonly getDroppedLogLines: () => number;
+  /** Called when an invariant is broken; the process has to end. */
   readonly onFatal: (error: Error) => void;
 }
 
