Serve short runs first and refuse late requests in a standing backlog

Callers refused by a grey target came back after 400 ms, when their objective was over.

Change: of equals in rank and in time the shortest run is served first. Gates tell waits for the route of the offer, and entries keep them by route. A refusal that says nothing of the load lets the caller return within 90 ms; a quarantine names its term. Gate refusals log route and rank. The suspects of a crash are a part of their own.

--- a/packages/coordination/src/quarantine.ts
+++ b/packages/coordination/src/quarantine.ts
@@ -6,6 +6,9 @@
 import type {Fingerprint} from '@cassiaknot/peer-protocol';
 import {LRUCache} from 'lru-cache';
 
+/** Term of a quarantine; an operator has had time to look by then. */
+export const QUARANTINE_TTL_MS = 600_000;
+
 /** Bounds of a {@link Quarantine}. */
 export interface QuarantineOptions {
   /** Crashes after which a request is refused. */
--- /dev/null
+++ b/packages/relay/src/crash_suspects.ts
@@ -0,0 +1,52 @@
+/**
+ * Finds the requests that were in flight when a target crashed: those whose
+ * answers were lost shortly before the target refused a connection.
+ */
+
+import type {ServiceId} from '@cassiaknot/inventory';
+import type {Fingerprint} from '@cassiaknot/peer-protocol';
+import {CRASH_WINDOW_MS} from './constants.js';
+
+/** Knowledge about requests that crash targets. */
+export interface CrashWatch {
+  judge(fingerprint: Fingerprint): 'clear' | 'suspect' | 'quarantined';
+  /** Records a crash with the request in flight. */
+  reportCrash(serviceId: ServiceId, fingerprint: Fingerprint): void;
+  /** Records that the request ran to its end. */
+  acquit(fingerprint: Fingerprint): void;
+}
+
+interface RecentLoss {
+  readonly fingerprint: Fingerprint;
+  readonly serviceId: ServiceId;
+  readonly atMs: number;
+}
+
+/** Lost requests of the last moments. */
+export class CrashSuspects {
+  private recentLosses: RecentLoss[] = [];
+
+  constructor(private readonly crashWatch: CrashWatch) {}
+
+  /** Records a request whose answer was lost. */
+  add(serviceId: ServiceId, fingerprint: Fingerprint, atMs: number): void {
+    this.dropOld(atMs);
+    this.recentLosses.push({serviceId, fingerprint, atMs});
+  }
+
+  /** Reports all of them: the target has been found to be gone. */
+  reportCrash(nowMs: number): void {
+    this.dropOld(nowMs);
+    for (const {serviceId, fingerprint} of this.recentLosses) {
+      this.crashWatch.reportCrash(serviceId, fingerprint);
+    }
+    this.recentLosses = [];
+  }
+
+  private dropOld(nowMs: number): void {
+    const horizonMs = nowMs - CRASH_WINDOW_MS;
+    this.recentLosses = this.recentLosses.filter(
+      loss => loss.atMs >= horizonMs,
+    );
+  }
+}
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -45,7 +45,8 @@
 };
 
 /** What a fake gate answers. */
-type Script = 'answer' | 'failure' | 'busy' | 'draining' | 'shed' | 'loss';
+type Script =
+  'answer' | 'failure' | 'busy' | 'draining' | 'quarantined' | 'shed' | 'loss';
 
 /** Gates that answer by a script, in the order in which they are asked. */
 class FakeGates {
@@ -113,6 +114,8 @@
         return {...refusal, reason: 'overloaded', hasArrived: false};
       case 'draining':
         return {...refusal, reason: 'draining', hasArrived: false};
+      case 'quarantined':
+        return {...refusal, reason: 'quarantined', hasArrived: false};
       case 'shed':
         return {...refusal, reason: 'target-refused', hasArrived: true};
       case 'loss':
@@ -152,6 +155,7 @@
 async function newEntry(
   gates: FakeGates,
   isIdempotent: boolean,
+  allowance = 100,
 ): Promise<Entry> {
   const directory = new GateDirectory({
     self: brandId<InstanceId>('self'),
@@ -186,7 +190,7 @@
     retryWindow: new RetryWindow({
       windowMs: 10_000,
       ratio: 0.2,
-      allowance: 100,
+      allowance,
     }),
     getMemberCount: () => 1,
     getCallerServiceId: () => 'caller',
@@ -260,6 +264,24 @@
     expect(outcome).to.include({kind: 'answered', statusCode: 200});
   });
 
+  it('grey target: lets a refused caller return at once', async () => {
+    // The budget for repeats is spent, so the caller itself has to come again.
+    const entry = await newEntry(new FakeGates(['shed']), true, 0);
+    const outcome = await entry.handle(newRequest());
+    expect(outcome).to.include({kind: 'refused', reason: 'target-refused'});
+    // A third of the objective would already cost the answer in time.
+    if (outcome.kind !== 'refused') return;
+    expect(outcome.retryAfterMs).to.be.below(400 / 3);
+  });
+
+  it('quarantine: names a return no sooner than its end', async () => {
+    const entry = await newEntry(new FakeGates(['quarantined']), true);
+    const outcome = await entry.handle(newRequest());
+    expect(outcome).to.include({kind: 'refused', reason: 'quarantined'});
+    if (outcome.kind !== 'refused') return;
+    expect(outcome.retryAfterMs).to.be.at.least(60_000);
+  });
+
   it('never runs twice what may run once, nor denies a run', async () => {
     const scripts = fc.constantFrom<Script>(
       'answer',
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -13,8 +13,10 @@
   RelayLink,
   RelayLinkEvents,
 } from '@cassiaknot/peer-protocol';
-import type {Job} from '@cassiaknot/routing';
-import {CRASH_WINDOW_MS, TARGET_ANSWER_GRACE_MS} from './constants.js';
+import type {Job, JobRank} from '@cassiaknot/routing';
+import {TARGET_ANSWER_GRACE_MS} from './constants.js';
+import type {CrashWatch} from './crash_suspects.js';
+import {CrashSuspects} from './crash_suspects.js';
 import type {Dialect} from './dialect.js';
 import {CONNECTION_HEADERS} from './dialect.js';
 import type {RelayObserver} from './observer.js';
@@ -24,15 +26,6 @@
 import type {TargetSession} from './target_session.js';
 import type {TargetSlot} from './target_slot.js';
 
-/** Knowledge about requests that crash targets. */
-export interface CrashWatch {
-  judge(fingerprint: Fingerprint): 'clear' | 'suspect' | 'quarantined';
-  /** Records a crash with the request in flight. */
-  reportCrash(serviceId: ServiceId, fingerprint: Fingerprint): void;
-  /** Records that the request ran to its end. */
-  acquit(fingerprint: Fingerprint): void;
-}
-
 /** Collaborators of a {@link Gate}. */
 export interface GateOptions {
   readonly slot: TargetSlot;
@@ -54,12 +47,6 @@
   isSettled: boolean;
 }
 
-interface RecentLoss {
-  readonly fingerprint: Fingerprint;
-  readonly serviceId: ServiceId;
-  readonly atMs: number;
-}
-
 const PART = 'gate';
 /** Run time as told in frames where none is known. */
 const UNKNOWN_RUN_MS = -1;
@@ -67,12 +54,13 @@
 /** Admits requests to the target and tells what became of them. */
 export class Gate {
   private readonly calls = new Map<RelayLink, Map<CallId, Call>>();
-  private recentLosses: RecentLoss[] = [];
+  private readonly suspects: CrashSuspects;
   private isStopping = false;
   private callCount = 0;
-  private lastOfferMs = 0;
 
-  constructor(private readonly options: GateOptions) {}
+  constructor(private readonly options: GateOptions) {
+    this.suspects = new CrashSuspects(options.crashWatch);
+  }
 
   /** Events of the links from entries. */
   getLinkEvents(): RelayLinkEvents {
@@ -103,11 +91,6 @@
     return this.callCount;
   }
 
-  /** Time since the last request was offered. */
-  getIdleMs(): number {
-    return performance.now() - this.lastOfferMs;
-  }
-
   private getTargetState(): RelayFrameOf<'target-state'> {
     const session = this.options.slot.getSession();
     const isOpen = session?.getState() === 'open';
@@ -123,7 +106,6 @@
   private receive(link: RelayLink, frame: RelayFrame): void {
     switch (frame.kind) {
       case 'offer':
-        this.lastOfferMs = performance.now();
         this.takeOffer(link, frame);
         return;
       case 'cancel':
@@ -333,6 +315,8 @@
     observer.count('offer-refused', reason);
     observer.decide('info', PART, 'refused', {
       requestId: offer.requestId,
+      ruleId: offer.ruleId,
+      urgency: offer.urgency,
       reason,
       hasArrived,
       waitMs: Math.round(load.waitMs),
@@ -373,33 +357,27 @@
   ): {waitMs: number; runMs: number} {
     if (!session) return {waitMs: 0, runMs: UNKNOWN_RUN_MS};
     const nowMs = performance.now();
-    const waitMs = session.scheduler.estimateWaitMs(offer.urgency, nowMs);
-    const runMs = session.getRunMs(offer.ruleId) ?? UNKNOWN_RUN_MS;
+    const {ruleId, urgency, objectiveMs} = offer;
+    const next: JobRank = {
+      urgency,
+      workMs: session.estimateRunMs(ruleId, objectiveMs),
+      objectiveAtMs: nowMs + objectiveMs,
+    };
+    const waitMs = session.scheduler.estimateWaitMs(next, nowMs);
+    const runMs = session.getRunMs(ruleId) ?? UNKNOWN_RUN_MS;
     return {waitMs, runMs};
   }
 
-  // A refused connection soon after lost answers shows that the target died.
   private noticeUnconnected(session: TargetSession, isRefused: boolean): void {
     session.markDown();
-    if (!isRefused) return;
-    const horizonMs = performance.now() - CRASH_WINDOW_MS;
-    for (const {serviceId, fingerprint, atMs} of this.recentLosses) {
-      if (atMs < horizonMs) continue;
-      this.options.crashWatch.reportCrash(serviceId, fingerprint);
-    }
-    this.recentLosses = [];
+    if (isRefused) this.suspects.reportCrash(performance.now());
   }
 
   private noticeLoss(call: Call, reason: LossReason): void {
     this.options.observer.count('target-loss', reason);
     if (reason !== 'target-lost') return;
-    const atMs = performance.now();
-    const horizonMs = atMs - CRASH_WINDOW_MS;
-    this.recentLosses = this.recentLosses.filter(
-      loss => loss.atMs >= horizonMs,
-    );
     const {serviceId} = call.offer;
-    this.recentLosses.push({serviceId, fingerprint: call.fingerprint, atMs});
+    this.suspects.add(serviceId, call.fingerprint, performance.now());
   }
 
   private cancel(call: Call | undefined): void {
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -40,7 +40,7 @@
 
 interface Pending {
   readonly isIdempotent: boolean;
-  readonly urgency: number;
+  readonly ruleId: RuleId;
   readonly settle: (reply: GateReply) => void;
 }
 
@@ -52,6 +52,8 @@
 
 const NO_REPORT: WaitReport = {waitMs: 0, atMs: 0};
 
+/** Routes whose last reported wait is kept; reports age within a second. */
+const MAX_WAIT_REPORTS = 1_024;
 /** Half-life of the memory of failures. */
 const FAILURE_HALF_LIFE_MS = 3_000;
 /** Weight of one outcome in the share of failures. */
@@ -70,8 +72,8 @@
   private lastHeardMs = 0;
   private pingedAtMs: number | undefined;
   private coldUntilMs = 0;
-  /** Waits that the gate told, by urgency. */
-  private readonly waits = new Map<number, WaitReport>();
+  /** Waits that the gate told, by route. */
+  private readonly waits = new Map<RuleId, WaitReport>();
   private unreported = 0;
   private failureShare = 0;
   private failureAtMs = 0;
@@ -118,9 +120,9 @@
   offer(offer: NewOffer): PendingCall {
     this.callCount += 1;
     const callId = brandId<CallId>(this.callCount.toString(36));
-    const {isIdempotent, urgency} = offer;
+    const {isIdempotent, ruleId} = offer;
     const reply = new Promise<GateReply>(resolve => {
-      this.pending.set(callId, {isIdempotent, urgency, settle: resolve});
+      this.pending.set(callId, {isIdempotent, ruleId, settle: resolve});
       this.unreported += 1;
       const isSent = this.link?.send({kind: 'offer', callId, ...offer});
       if (isSent !== true) this.settle(callId, NOT_SENT);
@@ -154,9 +156,9 @@
   }
 
   /** What is known of the target, for a choice. */
-  estimate(ruleId: RuleId, urgency: number): TargetEstimate<GateLink> {
+  estimate(ruleId: RuleId): TargetEstimate<GateLink> {
     const nowMs = performance.now();
-    const report = this.waits.get(urgency) ?? NO_REPORT;
+    const report = this.waits.get(ruleId) ?? NO_REPORT;
     return {
       target: this,
       isLocal: this.isLocal,
@@ -241,8 +243,9 @@
     if (runMs >= 0) this.runMeans.record(ruleId, runMs);
   }
 
-  private learnLoad(urgency: number, waitMs: number): void {
-    this.waits.set(urgency, {waitMs, atMs: this.lastHeardMs});
+  private learnLoad(ruleId: RuleId, waitMs: number): void {
+    if (this.waits.size >= MAX_WAIT_REPORTS) this.waits.clear();
+    this.waits.set(ruleId, {waitMs, atMs: this.lastHeardMs});
   }
 
   private settle(callId: CallId, reply: GateReply): void {
@@ -250,7 +253,7 @@
     if (!call) return;
     this.pending.delete(callId);
     if (reply.waitMs !== undefined) {
-      this.learnLoad(call.urgency, reply.waitMs);
+      this.learnLoad(call.ruleId, reply.waitMs);
     }
     this.unreported = Math.max(0, this.unreported - 1);
     call.settle(reply);
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -3,6 +3,7 @@
  * where that can't run it twice.
  */
 
+import {QUARANTINE_TTL_MS} from '@cassiaknot/coordination';
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {TargetEstimate} from '@cassiaknot/routing';
 import {
@@ -31,6 +32,16 @@
   'answer-cut',
   'answer-foreign',
 ]);
+/** Refusals that say nothing of the load: the next offer may well succeed. */
+const PASSING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'target-refused',
+  'connect-failed',
+  'target-down',
+  'draining',
+  'stopping',
+  'closed',
+  'link-unverified',
+]);
 /** Parts of the retry budget that repeats may use, by what they follow. */
 const LOSS_REPEAT_SHARE = 0.5;
 const FAILURE_REPEAT_SHARE = 0.25;
@@ -114,7 +125,7 @@
       const estimates = entry.options.directory
         .findAccepting(plan.serviceId)
         .filter(link => !this.tried.has(link))
-        .map(link => link.estimate(plan.ruleId, plan.urgency))
+        .map(link => link.estimate(plan.ruleId))
         .filter(estimate => !this.isSurelyBusy(estimate));
       const {objectiveMs} = plan;
       const [best] = rankTargets(estimates, {usualRunMs, objectiveMs});
@@ -285,16 +296,17 @@
 
   private refuse(): RelayOutcome {
     const reason = this.lastRefusal;
+    // Those refused together should not come back together.
+    const spread = 0.5 + this.entry.options.random();
+    if (PASSING_REFUSALS.has(reason)) {
+      return refuse(reason, MIN_RETRY_AFTER_MS * 2 * spread);
+    }
+    if (reason === 'quarantined') return refuse(reason, QUARANTINE_TTL_MS);
     if (reason !== 'overloaded') return refuse(reason, UNKNOWN_RETRY_AFTER_MS);
     let waitMs = Infinity;
     for (const link of this.tried) {
-      waitMs = Math.min(
-        waitMs,
-        link.estimate(this.plan.ruleId, this.plan.urgency).reportedWaitMs,
-      );
+      waitMs = Math.min(waitMs, link.estimate(this.plan.ruleId).reportedWaitMs);
     }
-    // Those refused together should not come back together.
-    const spread = 0.5 + this.entry.options.random();
     return refuse(reason, Math.max(MIN_RETRY_AFTER_MS, waitMs * spread));
   }
 
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -14,3 +14,7 @@
 export const COLD_FACTOR = 2;
 /** Failure share from which a target is avoided in favour of its peers. */
 export const FAILURE_PENALTY_OBJECTIVES = 2;
+/** Factor on the expected run time that covers most of its spread. */
+export const WORK_SPREAD_FACTOR = 1.5;
+/** Time of uninterrupted waiting after which a queue is more than a burst. */
+export const STANDING_BACKLOG_MS = 300;
--- /dev/null
+++ b/packages/routing/src/overload.test.ts
@@ -0,0 +1,86 @@
+import {expect} from 'chai';
+import {SlotScheduler} from './slot_scheduler.js';
+import type {LoadKind, LoadResult} from './testing/overload_model.js';
+import {OverloadModel} from './testing/overload_model.js';
+
+const SLOTS = 6;
+const LENGTH_MS = 8_000;
+const SEEDS = [1, 2, 3, 4, 5];
+
+const LOOKUP: LoadKind = {
+  name: 'lookup',
+  perSecond: 90,
+  urgency: 2,
+  meanWorkMs: 100,
+  objectiveMs: 300,
+  deadlineMs: 800,
+};
+
+const RECORD: LoadKind = {
+  name: 'record',
+  perSecond: 45,
+  urgency: 1,
+  meanWorkMs: 120,
+  objectiveMs: 400,
+  deadlineMs: 1_000,
+};
+
+const SHORT_CALL: LoadKind = {
+  name: 'short-call',
+  perSecond: 60,
+  urgency: 1,
+  meanWorkMs: 22,
+  objectiveMs: 100,
+  deadlineMs: 250,
+};
+
+// A linear congruential generator; its quality suffices for arrivals.
+function newRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32;
+    return state / 2 ** 32;
+  };
+}
+
+function play(
+  seed: number,
+  kinds: readonly LoadKind[],
+): ReadonlyMap<string, LoadResult> {
+  const scheduler = new SlotScheduler(SLOTS);
+  return new OverloadModel(scheduler, newRandom(seed)).play(kinds, LENGTH_MS);
+}
+
+function shareOf(
+  results: ReadonlyMap<string, LoadResult>,
+  name: string,
+  field: keyof LoadResult,
+): number {
+  const result = results.get(name);
+  return result ? result[field] / result.offered : 0;
+}
+
+describe('Overload of one target', () => {
+  for (const seed of SEEDS) {
+    it(`sustained overload: refuses early, seed ${seed}`, () => {
+      const lookup = play(seed, [LOOKUP]).get('lookup');
+      if (!lookup) throw new Error('no result');
+      expect(lookup.refused / lookup.offered).to.be.above(0.2);
+      // Early enough for a run in time elsewhere.
+      const heldMs = lookup.refusedHeldMs / lookup.refused;
+      expect(heldMs).to.be.below(LOOKUP.objectiveMs / 4);
+    });
+
+    it(`sustained overload: uses its slots for answers in time, seed ${seed}`, () => {
+      const results = play(seed, [LOOKUP]);
+      // 60 of 90 a second fit into six slots of 100 ms.
+      expect(shareOf(results, 'lookup', 'inTime')).to.be.above(0.55);
+    });
+
+    it(`short calls: do not wait behind long requests, seed ${seed}`, () => {
+      const results = play(seed, [RECORD, SHORT_CALL]);
+      expect(shareOf(results, 'short-call', 'inTime')).to.be.above(0.9);
+      expect(shareOf(results, 'record', 'inTime')).to.be.above(0.6);
+    });
+  }
+});
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -2,22 +2,32 @@
  * Slots and queue of one target. Whoever can't be served before its deadline is
  * refused at once. The more urgent is served first; of equals the one that can
  * still meet its latency objective, so that an overload makes some requests
- * late instead of all; of these the one that came first.
+ * late instead of all; of these the one with the shortest run, so that a short
+ * call does not wait behind long requests. While a backlog persists, a
+ * request that would be late is refused: its slot serves another in time.
  */
 
-import {MIN_WORK_SHARE} from './constants.js';
+import {
+  MIN_WORK_SHARE,
+  STANDING_BACKLOG_MS,
+  WORK_SPREAD_FACTOR,
+} from './constants.js';
 
 /** Why a job was not started. */
 export type RefusalReason = 'overloaded' | 'deadline' | 'closed';
 
-/** A request that wants a slot. */
-export interface Job {
+/** What decides the place of a request in the queue. */
+export interface JobRank {
   /** Rank under load; 0 is served first. */
   readonly urgency: number;
   /** Expected run time on this target. */
   readonly workMs: number;
   /** Time until which an answer meets the latency objective. */
   readonly objectiveAtMs: number;
+}
+
+/** A request that wants a slot. */
+export interface Job extends JobRank {
   /** Time at which the caller stops waiting. */
   readonly deadlineAtMs: number;
   /** Longest wait that the sender accepts here. */
@@ -45,6 +55,8 @@
   private readonly running = new Map<Job, number>();
   /** In the order of arrival. */
   private waiting: Job[] = [];
+  /** Since when jobs have been waiting all the while. */
+  private backlogSinceMs: number | undefined;
   private isClosed = false;
 
   constructor(private slots: number) {}
@@ -59,13 +71,16 @@
       this.start(job, nowMs);
       return {kind: 'started'};
     }
-    const isLate = nowMs + job.workMs > job.objectiveAtMs;
-    const waitMs = this.estimateWaitMs(job.urgency, nowMs, isLate);
-    const isInTime = nowMs + waitMs + job.workMs <= job.deadlineAtMs;
-    if (waitMs > job.maxWaitMs || !isInTime) {
+    const waitMs = this.estimateWaitMs(job, nowMs);
+    const startMs = nowMs + waitMs;
+    const isServable =
+      waitMs <= job.maxWaitMs && startMs + job.workMs <= job.deadlineAtMs;
+    const isTooLate = this.hasStandingBacklog(nowMs) && !isInTime(job, startMs);
+    if (!isServable || isTooLate) {
       return {kind: 'refused', reason: 'overloaded'};
     }
     this.waiting.push(job);
+    this.backlogSinceMs ??= nowMs;
     return {kind: 'queued'};
   }
 
@@ -77,20 +92,20 @@
   /** Takes a job out of the queue; `false` if it is not waiting. */
   cancel(job: Job): boolean {
     const before = this.waiting.length;
-    this.waiting = this.waiting.filter(other => other !== job);
+    this.setWaiting(this.waiting.filter(other => other !== job));
     return this.waiting.length < before;
   }
 
-  /** Refuses the waiting jobs that can't be served in time any more. */
+  /** Refuses the waiting jobs that will not be served any more. */
   sweep(nowMs: number): void {
     let aheadMs = this.getMeanRunningWorkMs() / this.slots;
     const hopeless = new Set<Job>();
     for (const job of this.getServingOrder(nowMs)) {
-      if (nowMs + aheadMs + job.workMs > job.deadlineAtMs) hopeless.add(job);
+      if (this.isHopelessInQueue(job, aheadMs, nowMs)) hopeless.add(job);
       else aheadMs += job.workMs / this.slots;
     }
     if (hopeless.size === 0) return;
-    this.waiting = this.waiting.filter(job => !hopeless.has(job));
+    this.setWaiting(this.waiting.filter(job => !hopeless.has(job)));
     for (const job of hopeless) job.refuse('overloaded');
   }
 
@@ -109,22 +124,26 @@
   /** Refuses all that wait. */
   refuseWaiting(): void {
     const {waiting} = this;
-    this.waiting = [];
+    this.setWaiting([]);
     for (const job of waiting) job.refuse('closed');
   }
 
-  /** Expected wait of a job of this urgency that came now. */
-  estimateWaitMs(urgency: number, nowMs: number, isLate = false): number {
+  /** Expected wait of a job that came now. */
+  estimateWaitMs(job: JobRank, nowMs: number): number {
     if (this.running.size < this.slots && this.waiting.length === 0) return 0;
     let aheadMs = this.getMeanRunningWorkMs();
-    for (const job of this.waiting) {
-      if (job.urgency > urgency) continue;
-      const isAhead = job.urgency < urgency || isLate || isInTime(job, nowMs);
-      if (isAhead) aheadMs += job.workMs;
+    for (const other of this.waiting) {
+      if (compareRanks(other, job, nowMs) <= 0) aheadMs += other.workMs;
     }
     return aheadMs / this.slots;
   }
 
+  /** Whether jobs have been waiting for so long that this is no short burst. */
+  hasStandingBacklog(nowMs: number): boolean {
+    if (this.backlogSinceMs === undefined) return false;
+    return nowMs - this.backlogSinceMs >= STANDING_BACKLOG_MS;
+  }
+
   /** Load for reports. */
   getLoad(): SchedulerLoad {
     const {slots} = this;
@@ -147,12 +166,22 @@
     job.start();
   }
 
+  // In a standing backlog there is always another that is served before a late
+  // one, which learns of it while it can still go elsewhere.
+  private isHopelessInQueue(job: Job, aheadMs: number, nowMs: number): boolean {
+    if (nowMs + aheadMs + job.workMs > job.deadlineAtMs) return true;
+    return this.hasStandingBacklog(nowMs) && !isInTime(job, nowMs);
+  }
+
+  private setWaiting(waiting: Job[]): void {
+    this.waiting = waiting;
+    if (waiting.length === 0) this.backlogSinceMs = undefined;
+  }
+
   // The sort is stable, so that equals stay in the order of arrival.
   private getServingOrder(nowMs: number): Job[] {
-    return [...this.waiting].sort(
-      (left, right) =>
-        left.urgency - right.urgency ||
-        Number(isInTime(right, nowMs)) - Number(isInTime(left, nowMs)),
+    return [...this.waiting].sort((left, right) =>
+      compareRanks(left, right, nowMs),
     );
   }
 
@@ -164,8 +193,17 @@
   }
 }
 
-function isInTime(job: Job, nowMs: number): boolean {
-  return nowMs + job.workMs <= job.objectiveAtMs;
+/** Negative where `left` is served first, 0 for equals. */
+function compareRanks(left: JobRank, right: JobRank, nowMs: number): number {
+  if (left.urgency !== right.urgency) return left.urgency - right.urgency;
+  const isLeftInTime = isInTime(left, nowMs);
+  const isRightInTime = isInTime(right, nowMs);
+  if (isLeftInTime !== isRightInTime) return isLeftInTime ? -1 : 1;
+  return isLeftInTime ? left.workMs - right.workMs : 0;
+}
+
+function isInTime(job: JobRank, startMs: number): boolean {
+  return startMs + WORK_SPREAD_FACTOR * job.workMs <= job.objectiveAtMs;
 }
 
 // A run that would most likely be cut by its deadline only takes a slot.
