Look for members that left, in case they restart

Change: members also dial one that left within the last 30 s.

Test: a planned restart while the store is away (seen red without the change).

--- a/packages/coordination/src/actors/membership_actor.ts
+++ b/packages/coordination/src/actors/membership_actor.ts
@@ -24,6 +24,8 @@
 import {RemoteLinks} from './remote_links.js';
 
 const PART = 'members';
+/** Time for which a member that left is looked for: a restart with margin. */
+const REDIAL_LEFT_MS = 30_000;
 
 /** Digests of both ends of a link at a beat. */
 interface DigestPair {
@@ -308,7 +310,7 @@
   private tick(): void {
     this.forgiveOwnPause();
     this.claimFailures();
-    this.redialDead();
+    this.redialGone();
     this.table.collectTombstones(performance.now());
     // Planning ranks all members of the data centre, so once a beat is enough.
     if (this.isReplanDue) this.replan();
@@ -345,13 +347,12 @@
     this.merge({...record, state, heldVersion}, undefined);
   }
 
-  private redialDead(): void {
+  // A process that returns while the store is away can't find its peers, so
+  // they look for it. One that left may come back as well: a restart leaves.
+  private redialGone(): void {
     const {random} = this.context.options;
-    const dead: MemberRecord[] = [];
-    for (const record of this.table.getAll()) {
-      if (record.state === 'dead') dead.push(record);
-    }
-    const record = pickRandom(random, dead);
+    const leftSinceMs = performance.now() - REDIAL_LEFT_MS;
+    const record = pickRandom(random, this.table.getGone(leftSinceMs));
     if (!record) return;
     const addresses = [record.peerAddress];
     this.context.directory.links.send({kind: 'dial', addresses});
--- a/packages/coordination/src/coordinator.test.ts
+++ b/packages/coordination/src/coordinator.test.ts
@@ -16,6 +16,10 @@
 const DETECTION_MS = 25_000;
 /** Time for links, roles and repair to recover after all faults are over. */
 const RECOVERY_MS = 90_000;
+/** Time for which a process is away that a platform restarts. */
+const RESTART_MS = 1_500;
+/** Time after which a machine with a path to others counts as in touch. */
+const REJOIN_MS = 3_000;
 const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c'].map(id =>
   brandId<DataCentreId>(id),
 );
@@ -116,6 +120,22 @@
     expect(getVersions(fleet)).to.deep.equal(Array(9).fill(version));
   });
 
+  it('is found again after a planned restart while the store is away', async () => {
+    fleet = await startFleet(clock, 4);
+    const version = await fleet.commit();
+    await clock.tickAsync(1_000);
+    for (const id of DATA_CENTRES) fleet.cutFromStore.add(id);
+    const [slot] = fleet.slots;
+    if (!slot) throw new Error('no slot');
+    const left = fleet.leave(slot);
+    await clock.tickAsync(RESTART_MS);
+    await left;
+    await fleet.start(slot);
+    await clock.tickAsync(REJOIN_MS);
+    expect(slot.coordinator?.isReady()).to.equal(true);
+    expect(getVersion(slot)).to.equal(version);
+  });
+
   it('goes on in a data centre that is cut off and catches up after', async () => {
     fleet = await startFleet(clock, 3);
     const [cut = brandId<DataCentreId>('')] = DATA_CENTRES;
--- a/packages/coordination/src/member_table.ts
+++ b/packages/coordination/src/member_table.ts
@@ -79,6 +79,19 @@
     return this.records.values();
   }
 
+  /** Members that died, or that have left since the given time. */
+  getGone(leftSinceMs: number): MemberRecord[] {
+    const gone: MemberRecord[] = [];
+    for (const [instanceId, buriedAtMs] of this.buriedAtMs) {
+      const record = this.records.get(instanceId);
+      if (!record) continue;
+      if (record.state === 'dead' || buriedAtMs >= leftSinceMs) {
+        gone.push(record);
+      }
+    }
+    return gone;
+  }
+
   /** Digest of all live records; equal tables have equal digests. */
   getDigest(): number {
     let digest = 0;
--- a/packages/coordination/src/testing/test_fleet.ts
+++ b/packages/coordination/src/testing/test_fleet.ts
@@ -113,6 +113,14 @@
     return answer;
   }
 
+  /** Stops the process in a slot as planned. */
+  async leave(slot: TestSlot): Promise<void> {
+    const {coordinator} = slot;
+    slot.coordinator = undefined;
+    await coordinator?.stop();
+    this.network.crash(slot.peerAddress);
+  }
+
   /** Ends the process in a slot without a word. */
   crash(slot: TestSlot): void {
     const {coordinator} = slot;
