--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -8,6 +8,8 @@
 export const REPORT_HALF_LIFE_MS = 250;
 /** Part of a latency objective that another data centre has to save. */
 export const REMOTE_PENALTY_SHARE = 0.3;
+/** What of that part falls away where the own data centre may be late. */
+export const UNSAFE_LOCAL_PENALTY_SHARE = 0.15;
 /** Part of the expected run time that has to be left for a run to begin. */
 export const MIN_WORK_SHARE = 0.4;
 /** Factor on the run time of a target that has just started. */
--- a/packages/routing/src/policies.test.ts
+++ b/packages/routing/src/policies.test.ts
@@ -55,6 +55,12 @@
     expect(rank(own, remote)[0]).to.equal('own');
   });
 
+  it('uneven speeds: leaves a target that would often be late', () => {
+    const own = newEstimate('own', {runMs: 280});
+    const remote = newEstimate('remote', {isLocal: false, runMs: 180});
+    expect(rank(own, remote)[0]).to.equal('remote');
+  });
+
   it('old report: believes it less and less', () => {
     const own = newEstimate('own', {reportedWaitMs: 150, reportAgeMs: 1_000});
     const remote = newEstimate('remote', {isLocal: false});
