Test the limits on callers, denied routes and the suspects of a crash

Seen red: the limit on headers, the limit on a chunked body, 404 for whatever is refused, routing without a configuration, and suspects of any age, each taken out once. No change of the code.

--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -2,12 +2,13 @@
 import type {AddressInfo} from 'node:net';
 import {connect, createServer} from 'node:net';
 import {expect} from 'chai';
+import type {CallerLimits} from './caller_server.js';
 import {CallerServer, DEFAULT_CALLER_LIMITS} from './caller_server.js';
 import type {Dialect} from './dialect.js';
 import type {Entry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
-import type {RelayOutcome} from './outcome.js';
+import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
 
 const HOST = '127.0.0.1';
 
@@ -42,6 +43,7 @@
 async function exchange(
   handle: (request: CallerRequest) => Promise<RelayOutcome>,
   text: string,
+  limits: CallerLimits = DEFAULT_CALLER_LIMITS,
 ): Promise<string> {
   const entry = {
     handle,
@@ -51,7 +53,7 @@
     entry,
     dialect: DIALECT,
     observer: OBSERVER,
-    getLimits: () => DEFAULT_CALLER_LIMITS,
+    getLimits: () => limits,
   });
   const port = await findFreePort();
   await server.listen(HOST, port);
@@ -130,4 +132,59 @@
     expect(received).to.match(/^HTTP\/1\.1 503 /);
     expect(received).to.match(/retry-after: 0\.120/i);
   });
+
+  it('refuses larger requests than the limits allow, and runs none', async () => {
+    const limits = {
+      ...DEFAULT_CALLER_LIMITS,
+      maxHeaderBytes: 200,
+      maxBodyBytes: 4,
+    };
+    let handled = 0;
+    const handle = () => {
+      handled += 1;
+      return Promise.resolve(answer('ok', true));
+    };
+    const longHeader = `GET / HTTP/1.1\r\nHost: h\r\nX-Long: ${'x'.repeat(300)}\r\n\r\n`;
+    const counted =
+      'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello';
+    const chunked =
+      'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n' +
+      '3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n';
+    expect(await exchange(handle, longHeader, limits)).to.match(
+      /^HTTP\/1\.1 431 /,
+    );
+    expect(await exchange(handle, counted, limits)).to.match(
+      /^HTTP\/1\.1 413 /,
+    );
+    expect(await exchange(handle, chunked, limits)).to.match(
+      /^HTTP\/1\.1 413 /,
+    );
+    expect(handled).to.equal(0);
+  });
+
+  it('denies a route only by name, never with a time to return', async () => {
+    const refuseAs = (reason: RefusalReason) => () =>
+      Promise.resolve<RelayOutcome>({
+        kind: 'refused',
+        reason,
+        retryAfterMs: 400,
+      });
+    const denied = await exchange(refuseAs('no-route'), LAST);
+    expect(denied).to.match(/^HTTP\/1\.1 404 /);
+    expect(denied).not.to.match(/retry-after/i);
+    const unknown = await exchange(refuseAs('no-configuration'), LAST);
+    expect(unknown).to.match(/^HTTP\/1\.1 503 /);
+    expect(unknown).to.match(/retry-after: 0\.400/i);
+  });
+
+  it('promises nothing where the request may have run', async () => {
+    const loseAs = (reason: LossReason) => () =>
+      Promise.resolve<RelayOutcome>({kind: 'lost', reason});
+    expect(await exchange(loseAs('timeout'), LAST)).to.match(
+      /^HTTP\/1\.1 504 /,
+    );
+    for (const reason of ['target-lost', 'link-lost', 'answer-cut'] as const) {
+      expect(await exchange(loseAs(reason), LAST)).to.match(/^HTTP\/1\.1 502 /);
+    }
+  });
 });
--- /dev/null
+++ b/packages/relay/src/crash_suspects.test.ts
@@ -0,0 +1,43 @@
+import type {ServiceId} from '@cassiaknot/inventory';
+import {brandId} from '@cassiaknot/inventory';
+import type {Fingerprint} from '@cassiaknot/peer-protocol';
+import {expect} from 'chai';
+import {CRASH_WINDOW_MS} from './constants.js';
+import {CrashSuspects} from './crash_suspects.js';
+
+const SERVICE = brandId<ServiceId>('s');
+
+function newSuspects(): {suspects: CrashSuspects; reported: string[]} {
+  const reported: string[] = [];
+  const suspects = new CrashSuspects({
+    judge: () => 'clear',
+    acquit: () => undefined,
+    reportCrash: (_serviceId, fingerprint) => reported.push(fingerprint),
+  });
+  return {suspects, reported};
+}
+
+describe('Suspects of a crash', () => {
+  it('are the requests lost shortly before the target was gone', () => {
+    const {suspects, reported} = newSuspects();
+    suspects.add(SERVICE, brandId<Fingerprint>('old'), 0);
+    suspects.add(SERVICE, brandId<Fingerprint>('a'), CRASH_WINDOW_MS);
+    suspects.add(SERVICE, brandId<Fingerprint>('b'), CRASH_WINDOW_MS + 10);
+    suspects.reportCrash(CRASH_WINDOW_MS + 20);
+    expect(reported).to.deep.equal(['a', 'b']);
+  });
+
+  it('are reported once for each crash', () => {
+    const {suspects, reported} = newSuspects();
+    suspects.add(SERVICE, brandId<Fingerprint>('a'), 0);
+    suspects.reportCrash(10);
+    suspects.reportCrash(20);
+    expect(reported).to.deep.equal(['a']);
+  });
+
+  it('are not named by a target that was gone all along', () => {
+    const {suspects, reported} = newSuspects();
+    suspects.reportCrash(0);
+    expect(reported).to.deep.equal([]);
+  });
+});
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -124,6 +124,11 @@
   }
 }
 
+function newEmptyConfiguration(): PublishedConfiguration {
+  const state = newStateFromRecords(0, []);
+  return {state, routes: compileRouteTable(state)};
+}
+
 function newConfiguration(isIdempotent: boolean): PublishedConfiguration {
   const records: InventoryRecord[] = [
     {kind: 'owner', id: 'o', contact: 'c'},
@@ -156,6 +161,7 @@
   gates: FakeGates,
   isIdempotent: boolean,
   allowance = 100,
+  configuration = newConfiguration(isIdempotent),
 ): Promise<Entry> {
   const directory = new GateDirectory({
     self: brandId<InstanceId>('self'),
@@ -182,7 +188,6 @@
     }),
   );
   await Promise.resolve();
-  const configuration = newConfiguration(isIdempotent);
   return new Entry({
     getConfiguration: () => configuration,
     mayRoute: () => true,
@@ -282,6 +287,17 @@
     expect(outcome.retryAfterMs).to.be.at.least(60_000);
   });
 
+  it('denies a route only by a configuration that it holds', async () => {
+    const gates = new FakeGates([]);
+    const unsure = await newEntry(gates, true, 0, newEmptyConfiguration());
+    const refused = await unsure.handle(newRequest());
+    expect(refused).to.include({kind: 'refused', reason: 'no-configuration'});
+    const sure = await newEntry(gates, true);
+    const denied = await sure.handle({...newRequest(), host: '', path: 'x'});
+    expect(denied).to.include({kind: 'refused', reason: 'no-route'});
+    expect(gates.offers).to.deep.equal([]);
+  });
+
   it('never runs twice what may run once, nor denies a run', async () => {
     const scripts = fc.constantFrom<Script>(
       'answer',
