Name gate, route and offers in the line of each outcome

Change: the entry writes the line of the outcome, with route, service, gate asked last, offers, arrivals and accepting gates. It is still one line for each request. No decision changes.

Test: one line for each outcome, with these fields.

--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -141,7 +141,7 @@
       signal,
     );
     const outcome = await this.options.entry.handle(caller);
-    this.report(caller, outcome);
+    this.record(caller, outcome);
     if (signal.aborted) response.destroy();
     else this.write(response, caller, outcome);
   }
@@ -232,21 +232,10 @@
     response.end();
   }
 
-  private report(caller: CallerRequest, outcome: RelayOutcome): void {
-    const {observer, entry} = this.options;
-    const {reason} = describe(outcome);
-    const tookMs = performance.now() - caller.receivedAtMs;
-    observer.count(outcome.kind, String(reason));
-    observer.measure('request', tookMs);
-    const isNotable = outcome.kind !== 'answered';
-    observer.decide(isNotable ? 'warn' : 'info', PART, outcome.kind, {
-      requestId: caller.requestId,
-      ...describe(outcome),
-      version: entry.options.getConfiguration().state.version,
-      path: caller.path,
-      deadlineMs: caller.deadlineMs,
-      tookMs: Math.round(tookMs),
-    });
+  private record(caller: CallerRequest, outcome: RelayOutcome): void {
+    const {observer} = this.options;
+    observer.count(outcome.kind, String(describe(outcome).reason));
+    observer.measure('request', performance.now() - caller.receivedAtMs);
   }
 }
 
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -29,7 +29,7 @@
 import {Entry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import {GateDirectory} from './gate_directory.js';
-import type {RelayObserver} from './observer.js';
+import type {DecisionFields, RelayObserver} from './observer.js';
 import type {RelayOutcome} from './outcome.js';
 
 const SEED = 20261204;
@@ -38,11 +38,27 @@
 const OWN = brandId<DataCentreId>('own');
 const SERVICE = brandId<ServiceId>('s');
 
-const OBSERVER: RelayObserver = {
-  decide: () => undefined,
-  count: () => undefined,
-  measure: () => undefined,
-};
+/** Keeps the lines of all decisions. */
+class RecordingObserver implements RelayObserver {
+  readonly lines: Array<{event: string; fields: DecisionFields}> = [];
+
+  decide(
+    _level: string,
+    _part: string,
+    event: string,
+    fields: DecisionFields,
+  ): void {
+    this.lines.push({event, fields});
+  }
+
+  count(): void {
+    // Counters are checked elsewhere.
+  }
+
+  measure(): void {
+    // Latencies are checked elsewhere.
+  }
+}
 
 /** What a fake gate answers. */
 type Script =
@@ -162,6 +178,7 @@
   isIdempotent: boolean,
   allowance = 100,
   configuration = newConfiguration(isIdempotent),
+  observer: RelayObserver = new RecordingObserver(),
 ): Promise<Entry> {
   const directory = new GateDirectory({
     self: brandId<InstanceId>('self'),
@@ -171,7 +188,7 @@
       throw new Error('No gate of its own');
     },
     random: new SeededRandom(1),
-    observer: OBSERVER,
+    observer,
   });
   directory.setMembers(
     Array.from({length: GATE_COUNT}, (_, index): MemberRecord => {
@@ -199,7 +216,7 @@
     }),
     getMemberCount: () => 1,
     getCallerServiceId: () => 'caller',
-    observer: OBSERVER,
+    observer,
     random: () => 0.5,
   });
 }
@@ -287,6 +304,27 @@
     expect(outcome.retryAfterMs).to.be.at.least(60_000);
   });
 
+  it('writes one line for each outcome, with what decided it', async () => {
+    const observer = new RecordingObserver();
+    const gates = new FakeGates(['busy', 'failure', 'failure']);
+    const configuration = newConfiguration(true);
+    const entry = await newEntry(gates, true, 100, configuration, observer);
+    await entry.handle(newRequest());
+    const ends = observer.lines.filter(({event}) => event === 'answered');
+    expect(ends.length).to.equal(1);
+    expect(ends[0]?.fields).to.include({
+      requestId: 'r1',
+      reason: 'status-500',
+      ruleId: 'r',
+      serviceId: SERVICE,
+      version: 1,
+      gate: gates.offers.at(-1)?.gate.split(':')[0],
+      offers: 3,
+      arrivals: 2,
+      acceptingGates: GATE_COUNT,
+    });
+  });
+
   it('denies a route only by a configuration that it holds', async () => {
     const gates = new FakeGates([]);
     const unsure = await newEntry(gates, true, 0, newEmptyConfiguration());
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -16,8 +16,9 @@
   EntryOptions,
   RoutePlan,
 } from './entry_types.js';
+import type {DecisionFields} from './observer.js';
 import type {RelayOutcome} from './outcome.js';
-import {refuse} from './outcome.js';
+import {describe, refuse} from './outcome.js';
 import {RoutedRequest} from './routed_request.js';
 
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -29,6 +30,14 @@
   'TRACE',
 ]);
 
+const PART = 'entry';
+
+/** What became of a request, and what decided it. */
+interface RoutedOutcome {
+  readonly outcome: RelayOutcome;
+  readonly progress: DecisionFields;
+}
+
 /** Routes requests. */
 export class Entry implements EntryContext {
   private readonly turns = new WeakMap<Route, WeightedTurns<ServiceId>>();
@@ -39,20 +48,54 @@
 
   /** Routes one request and tells what became of it. */
   async handle(request: CallerRequest): Promise<RelayOutcome> {
+    const {outcome, progress} = await this.route(request);
+    this.report(request, outcome, progress);
+    return outcome;
+  }
+
+  private async route(request: CallerRequest): Promise<RoutedOutcome> {
     const mayRoute = await this.options.mayRoute();
     const {state, routes} = this.options.getConfiguration();
     if (state.version === 0 || !mayRoute) {
-      return refuse('no-configuration', UNKNOWN_RETRY_AFTER_MS);
+      const outcome = refuse('no-configuration', UNKNOWN_RETRY_AFTER_MS);
+      return {outcome, progress: {version: state.version, mayRoute}};
     }
     const question = request.path.indexOf('?');
     const path = question < 0 ? request.path : request.path.slice(0, question);
     const {method, host} = request;
     const route = findRoute(routes, {method, path, host});
-    if (!route) return refuse('no-route', 0);
-    const plan = this.planRoute(route, request, state.version);
-    if (!plan) return refuse('no-target', UNKNOWN_RETRY_AFTER_MS);
+    const {version} = state;
+    if (!route) return {outcome: refuse('no-route', 0), progress: {version}};
+    const plan = this.planRoute(route, request, version);
+    if (!plan) {
+      const outcome = refuse('no-target', UNKNOWN_RETRY_AFTER_MS);
+      return {outcome, progress: {version, ruleId: route.rule.id}};
+    }
     this.options.retryWindow.recordRequest(plan.serviceId, performance.now());
-    return new RoutedRequest(this, request, plan).run();
+    const routed = new RoutedRequest(this, request, plan);
+    const outcome = await routed.run();
+    return {outcome, progress: routed.describeProgress()};
+  }
+
+  private report(
+    request: CallerRequest,
+    outcome: RelayOutcome,
+    progress: DecisionFields,
+  ): void {
+    const isNotable = outcome.kind !== 'answered';
+    this.options.observer.decide(
+      isNotable ? 'warn' : 'info',
+      PART,
+      outcome.kind,
+      {
+        requestId: request.requestId,
+        ...describe(outcome),
+        ...progress,
+        path: request.path,
+        deadlineMs: request.deadlineMs,
+        tookMs: Math.round(performance.now() - request.receivedAtMs),
+      },
+    );
   }
 
   private planRoute(
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -20,6 +20,7 @@
 } from './constants.js';
 import type {CallerRequest, EntryContext, RoutePlan} from './entry_types.js';
 import type {GateLink, GateReply, PendingCall} from './gate_link.js';
+import type {DecisionFields} from './observer.js';
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
 import {describe, refuse, toRefusalReason} from './outcome.js';
 
@@ -58,6 +59,8 @@
   private arrivals = 0;
   private offers = 0;
   private current: {link: GateLink; call: PendingCall} | undefined;
+  /** The gate that was asked last. */
+  private lastGate: GateLink | undefined;
   private lastRefusal: RefusalReason = 'no-target';
   private isOver = false;
   private hasAskedUnbounded = false;
@@ -95,6 +98,21 @@
     return outcome;
   }
 
+  /** What the request went through, for the line of its outcome. */
+  describeProgress(): DecisionFields {
+    const {ruleId, serviceId, version} = this.plan;
+    const {directory} = this.entry.options;
+    return {
+      ruleId,
+      serviceId,
+      version,
+      gate: this.lastGate?.instanceId,
+      offers: this.offers,
+      arrivals: this.arrivals,
+      acceptingGates: directory.findAccepting(serviceId).length,
+    };
+  }
+
   private async attemptAll(): Promise<RelayOutcome> {
     let fallback: RelayOutcome | undefined;
     for (;;) {
@@ -177,6 +195,7 @@
   ): Promise<GateReply | undefined> {
     const {plan, request, entry} = this;
     this.tried.add(link);
+    this.lastGate = link;
     this.offers += 1;
     // An offer into a dead link could neither be taken back nor repeated.
     if (!plan.isIdempotent && !link.isFresh() && !(await link.verify())) {
