--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -20,5 +20,5 @@
 export const WORK_SPREAD_FACTOR = 1.5;
 /** Time of uninterrupted waiting after which a queue is more than a burst. */
 export const STANDING_BACKLOG_MS = 300;
-/** Part of the longest run at a target below which a run counts as short. */
+/** Part of the mean run at a target below which a run counts as short. */
 export const SHORT_RUN_SHARE = 0.5;
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -3,8 +3,8 @@
  * refused at once. The more urgent is served first; of equals the one that can
  * still meet its latency objective, so that an overload makes some requests
  * late instead of all; of these the one with the shortest run, so that a short
- * call does not wait behind long requests. While a backlog persists, a
- * request that would be late is refused: its slot serves another in time.
+ * call does not wait behind long requests. While a backlog persists, a request
+ * that would be late is refused: its slot serves another in time.
  */
 
 import {
@@ -205,14 +205,6 @@
     return startMs + WORK_SPREAD_FACTOR * job.workMs <= job.objectiveAtMs;
   }
 
-  private getLongestRunningWorkMs(): number {
-    let longestMs = 0;
-    for (const job of this.running.keys()) {
-      longestMs = Math.max(longestMs, job.workMs);
-    }
-    return longestMs;
-  }
-
   private getMeanRunningWorkMs(): number {
     if (this.running.size === 0) return 0;
     let sumMs = 0;
