Let four members of a data centre read the store

Change: four readers a data centre, so that every member of a data centre of up to four reads by itself.

Test: each machine of a data centre takes a change within 2 s when it hears nothing from any peer (seen red for the one that is not a reader).

Open: in larger data centres a member that is no reader still depends on peers; there the loss of all four readers at once is noticed after 3.2 s.

Ruled out for now: a shorter silence, which costs heartbeats on every link.

--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -49,7 +49,9 @@
 /** Overlay of a fleet whose members all carry traffic. */
 export const MESH_OVERLAY: OverlayOptions = {
   linksPerDaemon: 2,
-  readersPerDataCentre: 2,
+  // A member learns of silent readers only after seconds. With four, all members
+  // of a small data centre read, and nobody depends on a peer there.
+  readersPerDataCentre: 4,
   seedsPerDataCentre: 3,
   fallbackSeeds: [],
   learnsFromPeers: true,
