Let all members of a data centre of up to eight read the store

Cause: with four readers the fifth machine of karakoy still depends on peers.

Test: the same check in data centres of five (seen red with four readers).

Open: beyond eight members, as before.

--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -49,9 +49,9 @@
 /** Overlay of a fleet whose members all carry traffic. */
 export const MESH_OVERLAY: OverlayOptions = {
   linksPerDaemon: 2,
-  // A member learns of silent readers only after seconds. With four, all members
+  // A member learns of silent readers only after seconds. With eight, all members
   // of a small data centre read, and nobody depends on a peer there.
-  readersPerDataCentre: 4,
+  readersPerDataCentre: 8,
   seedsPerDataCentre: 3,
   fallbackSeeds: [],
   learnsFromPeers: true,
--- a/packages/daemon/src/mesh/mesh_overlay.test.ts
+++ b/packages/daemon/src/mesh/mesh_overlay.test.ts
@@ -6,7 +6,7 @@
 
 const SEED = 20261204;
 const DATA_CENTRES = ['a', 'b', 'c'];
-const SLOTS_PER_DATA_CENTRE = 3;
+const SLOTS_PER_DATA_CENTRE = 5;
 const SETTLE_MS = 10_000;
 /** Time in which a change has to be in force on every machine in reach. */
 const APPLY_MS = 2_000;
