Count the accepting gates where they are looked up anyway

The line of an outcome scanned all gates once more for each request, answered ones included. The choice of a target has just done that; its count is kept. No measurement: one scan of the directory a request less.

--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -57,6 +57,8 @@
   private readonly busy = new Map<GateLink, number>();
   private readonly deadlineAtMs: number;
   private arrivals = 0;
+  /** Gates that took requests when the last target was chosen. */
+  private acceptingGates = 0;
   private offers = 0;
   private current: {link: GateLink; call: PendingCall} | undefined;
   /** The gate that was asked last. */
@@ -101,7 +103,6 @@
   /** What the request went through, for the line of its outcome. */
   describeProgress(): DecisionFields {
     const {ruleId, serviceId, version} = this.plan;
-    const {directory} = this.entry.options;
     return {
       ruleId,
       serviceId,
@@ -109,7 +110,7 @@
       gate: this.lastGate?.instanceId,
       offers: this.offers,
       arrivals: this.arrivals,
-      acceptingGates: directory.findAccepting(serviceId).length,
+      acceptingGates: this.acceptingGates,
     };
   }
 
@@ -140,8 +141,9 @@
       return undefined;
     }
     if (this.offers < MAX_BOUNDED_OFFERS) {
-      const estimates = entry.options.directory
-        .findAccepting(plan.serviceId)
+      const accepting = entry.options.directory.findAccepting(plan.serviceId);
+      this.acceptingGates = accepting.length;
+      const estimates = accepting
         .filter(link => !this.tried.has(link))
         .map(link => link.estimate(plan.ruleId))
         .filter(estimate => !this.isSurelyBusy(estimate));
