Share one WebSocket endpoint and one way to split an address

Change: WebSocketEndpoint dials, accepts and keeps links for both transports; each keeps its limits, codec and link. splitAddress stands beside the addresses. No change of behaviour.

--- a/packages/peer-protocol/src/addresses.ts
+++ b/packages/peer-protocol/src/addresses.ts
@@ -22,3 +22,18 @@
 export const GATE_ADDRESS_SCHEMA = HOST_PORT_SCHEMA.transform(value =>
   brandId<GateAddress>(value),
 );
+
+/** An address in its parts. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `host:port`. */
+export function splitAddress(address: string): HostPort {
+  const separator = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  };
+}
--- a/packages/peer-protocol/src/relay_transport.ts
+++ b/packages/peer-protocol/src/relay_transport.ts
@@ -1,18 +1,25 @@
 /** Links between entries and gates over WebSocket. */
 
-import {once} from 'node:events';
 import type {RawData} from 'ws';
-import {WebSocket, WebSocketServer} from 'ws';
+import {WebSocket} from 'ws';
 import type {GateAddress} from './addresses.js';
 import type {RelayFrame} from './relay_frames.js';
 import {decodeRelayFrame, encodeRelayFrame} from './relay_frames.js';
-
-/** Largest frame: a body at the largest limit of callers, with its headers. */
-const MAX_FRAME_BYTES = 96 * 1024 * 1024;
+import type {EndpointLimits} from './web_socket_endpoint.js';
+import {
+  WebSocketEndpoint,
+  closeSocket,
+  toFrameBytes,
+} from './web_socket_endpoint.js';
+
+const LIMITS: EndpointLimits = {
+  // A body at the largest limit of callers, with its headers.
+  maxFrameBytes: 96 * 1024 * 1024,
+  // Two round trips between far regions, with room for a lost packet.
+  dialTimeoutMs: 700,
+};
 /** Bound on bytes that wait for a peer that does not read. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
-/** Two round trips between far regions, with room for a lost packet. */
-const DIAL_TIMEOUT_MS = 700;
 const CLOSE_GRACE_MS = 300;
 
 /** An open or opening link. */
@@ -42,49 +49,21 @@
 
 /** WebSocket implementation of {@link RelayTransport}. */
 export class WebSocketRelayTransport implements RelayTransport {
-  private readonly links = new Set<WebSocketRelayLink>();
-  private server: WebSocketServer | undefined;
+  private readonly endpoint = new WebSocketEndpoint<RelayLink, RelayLinkEvents>(
+    LIMITS,
+    (socket, events) => new WebSocketRelayLink(socket, events),
+  );
 
   dial(address: GateAddress, events: RelayLinkEvents): RelayLink {
-    const socket = new WebSocket(`ws://${address}`, {
-      handshakeTimeout: DIAL_TIMEOUT_MS,
-      maxPayload: MAX_FRAME_BYTES,
-      perMessageDeflate: false,
-    });
-    return this.track(socket, events);
-  }
-
-  async listen(address: GateAddress, events: RelayLinkEvents): Promise<void> {
-    const separator = address.lastIndexOf(':');
-    const server = new WebSocketServer({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-      maxPayload: MAX_FRAME_BYTES,
-      perMessageDeflate: false,
-    });
-    this.server = server;
-    server.on('connection', socket => {
-      const link = this.track(socket, events);
-      events.onOpen(link);
-    });
-    await once(server, 'listening');
+    return this.endpoint.dial(address, events);
   }
 
-  async close(): Promise<void> {
-    for (const link of [...this.links]) link.close();
-    const {server} = this;
-    if (!server) return;
-    await new Promise(resolve => server.close(resolve));
+  listen(address: GateAddress, events: RelayLinkEvents): Promise<void> {
+    return this.endpoint.listen(address, events);
   }
 
-  private track(
-    socket: WebSocket,
-    events: RelayLinkEvents,
-  ): WebSocketRelayLink {
-    const link = new WebSocketRelayLink(socket, events);
-    this.links.add(link);
-    socket.on('close', () => this.links.delete(link));
-    return link;
+  close(): Promise<void> {
+    return this.endpoint.close();
   }
 }
 
@@ -111,12 +90,7 @@
   }
 
   close(): void {
-    if (this.socket.readyState === WebSocket.CONNECTING) {
-      this.socket.terminate();
-      return;
-    }
-    this.socket.close();
-    setTimeout(() => this.socket.terminate(), CLOSE_GRACE_MS).unref();
+    closeSocket(this.socket, CLOSE_GRACE_MS);
   }
 
   abort(): void {
@@ -132,10 +106,3 @@
     this.events.onFrame(this, frame.value);
   }
 }
-
-/** Joins what `ws` delivers into one run of bytes. */
-export function toFrameBytes(data: RawData): Uint8Array {
-  if (Array.isArray(data)) return Buffer.concat(data);
-  if (data instanceof ArrayBuffer) return new Uint8Array(data);
-  return data;
-}
--- a/packages/peer-protocol/src/web_socket_transport.ts
+++ b/packages/peer-protocol/src/web_socket_transport.ts
@@ -1,12 +1,10 @@
-/** Peer links over WebSocket. The only module that uses `ws`. */
+/** Peer links over WebSocket. */
 
-import {once} from 'node:events';
 import type {RawData} from 'ws';
-import {WebSocket, WebSocketServer} from 'ws';
+import {WebSocket} from 'ws';
 import type {PeerAddress} from './addresses.js';
 import {decodeMessage, encodeMessage} from './codec.js';
 import type {PeerMessage} from './messages.js';
-import {toFrameBytes} from './relay_transport.js';
 import type {
   LinkCloseReason,
   LinkEvents,
@@ -14,56 +12,41 @@
   PeerTransport,
   TransportMeter,
 } from './transport.js';
+import type {EndpointLimits} from './web_socket_endpoint.js';
+import {
+  WebSocketEndpoint,
+  closeSocket,
+  toFrameBytes,
+} from './web_socket_endpoint.js';
 
-const MAX_FRAME_BYTES = 16 * 1024 * 1024;
+const LIMITS: EndpointLimits = {
+  maxFrameBytes: 16 * 1024 * 1024,
+  dialTimeoutMs: 1_500,
+};
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
-const DIAL_TIMEOUT_MS = 1_500;
 const CLOSE_GRACE_MS = 500;
 
 /** WebSocket implementation of {@link PeerTransport}. */
 export class WebSocketTransport implements PeerTransport {
-  private readonly links = new Set<WebSocketLink>();
-  private server: WebSocketServer | undefined;
+  private readonly endpoint: WebSocketEndpoint<PeerLink, LinkEvents>;
 
-  constructor(private readonly meter: TransportMeter) {}
-
-  dial(address: PeerAddress, events: LinkEvents): PeerLink {
-    const socket = new WebSocket(`ws://${address}`, {
-      handshakeTimeout: DIAL_TIMEOUT_MS,
-      maxPayload: MAX_FRAME_BYTES,
-      perMessageDeflate: false,
-    });
-    return this.track(socket, events);
+  constructor(meter: TransportMeter) {
+    this.endpoint = new WebSocketEndpoint(
+      LIMITS,
+      (socket, events) => new WebSocketLink(socket, meter, events),
+    );
   }
 
-  async listen(address: PeerAddress, events: LinkEvents): Promise<void> {
-    const separator = address.lastIndexOf(':');
-    const server = new WebSocketServer({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-      maxPayload: MAX_FRAME_BYTES,
-      perMessageDeflate: false,
-    });
-    this.server = server;
-    server.on('connection', socket => {
-      const link = this.track(socket, events);
-      events.onOpen(link);
-    });
-    await once(server, 'listening');
+  dial(address: PeerAddress, events: LinkEvents): PeerLink {
+    return this.endpoint.dial(address, events);
   }
 
-  async close(): Promise<void> {
-    for (const link of [...this.links]) link.close();
-    const server = this.server;
-    if (!server) return;
-    await new Promise(resolve => server.close(resolve));
+  listen(address: PeerAddress, events: LinkEvents): Promise<void> {
+    return this.endpoint.listen(address, events);
   }
 
-  private track(socket: WebSocket, events: LinkEvents): WebSocketLink {
-    const link = new WebSocketLink(socket, this.meter, events);
-    this.links.add(link);
-    socket.on('close', () => this.links.delete(link));
-    return link;
+  close(): Promise<void> {
+    return this.endpoint.close();
   }
 }
 
@@ -96,12 +79,7 @@
   }
 
   close(): void {
-    if (this.socket.readyState === WebSocket.CONNECTING) {
-      this.socket.terminate();
-      return;
-    }
-    this.socket.close();
-    setTimeout(() => this.socket.terminate(), CLOSE_GRACE_MS).unref();
+    closeSocket(this.socket, CLOSE_GRACE_MS);
   }
 
   private handleOpen(): void {
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -1,6 +1,7 @@
 /** Sends requests to the one target beside this gate. */
 
 import {connect} from 'node:net';
+import {splitAddress} from '@cassiaknot/peer-protocol';
 import type {Dispatcher} from 'undici';
 import {Client, Pool, buildConnector} from 'undici';
 import {
@@ -84,11 +85,8 @@
   }
 
   probe(): Promise<boolean> {
-    const separator = this.address.lastIndexOf(':');
-    const host = this.address.slice(0, separator);
-    const port = Number(this.address.slice(separator + 1));
     return new Promise(resolve => {
-      const socket = connect({host, port});
+      const socket = connect(splitAddress(this.address));
       const settle = (isReachable: boolean) => {
         clearTimeout(timer);
         socket.destroy();
