--- a/packages/daemon/src/control_meter.ts
+++ b/packages/daemon/src/control_meter.ts
@@ -3,8 +3,9 @@
 import type {CoordinationEvent} from '@cassiaknot/coordination';
 import type {TransportMeter} from '@cassiaknot/peer-protocol';
 import type {PeerMessage} from '@cassiaknot/peer-protocol';
-import {Counter, Gauge} from 'prom-client';
+import {Counter} from 'prom-client';
 import type {Registry} from 'prom-client';
+import {registerGauge} from './register_gauge.js';
 
 /** Gauges that are read when the metrics are asked for. */
 export interface ControlGauges {
@@ -83,34 +84,35 @@
 
   /** Registers the gauges. */
   registerGauges(gauges: ControlGauges): void {
-    this.registerGauge('cassiaknot_version', 'Version in force', () =>
+    registerGauge(this.registry, 'cassiaknot_version', 'Version in force', () =>
       gauges.getVersion(),
     );
-    this.registerGauge('cassiaknot_live_members', 'Live members known', () =>
-      gauges.getLiveMemberCount(),
+    registerGauge(
+      this.registry,
+      'cassiaknot_live_members',
+      'Live members known',
+      () => gauges.getLiveMemberCount(),
     );
-    this.registerGauge('cassiaknot_gate_waiting', 'Requests waiting', () =>
-      gauges.getWaitingCount(),
+    registerGauge(
+      this.registry,
+      'cassiaknot_gate_waiting',
+      'Requests waiting',
+      () => gauges.getWaitingCount(),
     );
-    this.registerGauge('cassiaknot_claim_rate', 'Claim calls/s allowed', () =>
-      gauges.getClaimRate(),
+    registerGauge(
+      this.registry,
+      'cassiaknot_claim_rate',
+      'Claim calls/s allowed',
+      () => gauges.getClaimRate(),
     );
-    this.registerGauge('cassiaknot_gate_running', 'Requests running', () =>
-      gauges.getRunningCount(),
+    registerGauge(
+      this.registry,
+      'cassiaknot_gate_running',
+      'Requests running',
+      () => gauges.getRunningCount(),
     );
   }
 
-  private registerGauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
-
   private countMessage(
     direction: 'sent' | 'received',
     kind: PeerMessage['kind'],
--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -2,7 +2,8 @@
 
 import type {CountedEvent, MeasuredStage} from '@cassiaknot/relay';
 import type {Registry} from 'prom-client';
-import {Counter, Gauge, Histogram} from 'prom-client';
+import {Counter, Histogram} from 'prom-client';
+import {registerGauge} from '../register_gauge.js';
 
 /** Values that are read when the metrics are asked for. */
 export interface MeshGauges {
@@ -76,14 +77,7 @@
       ],
     ];
     for (const [name, help, read] of readers) {
-      new Gauge({
-        name,
-        help,
-        registers: [this.registry],
-        collect() {
-          this.set(read());
-        },
-      });
+      registerGauge(this.registry, name, help, read);
     }
   }
 }
