--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -19,6 +19,8 @@
   encodeBase64,
   getRangeEnd,
 } from './etcd_messages.js';
+import type {CallKind} from './call_errors.js';
+import {toFailure, toStoreError} from './call_errors.js';
 import type {ETCD_KEY_VALUE_SCHEMA} from './etcd_messages.js';
 import type {
   CasOutcome,
@@ -39,16 +41,8 @@
   readonly timeoutMs: number;
 }
 
-type CallKind = 'read' | 'write';
-
 const MS_PER_SECOND = 1_000;
 const MAX_CONNECTIONS = 8;
-const CERTAIN_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
 
 /** Speaks to the store over HTTP. */
 export class HttpStore implements KeyValueStore {
@@ -215,10 +209,10 @@
     text: string,
     schema: z.ZodType<T>,
   ): Result<T, StoreError> {
-    if (statusCode >= 500) return Err(failed(kind, `status ${statusCode}`));
+    if (statusCode >= 500) return Err(toFailure(kind, `status ${statusCode}`));
     if (statusCode >= 400) return Err(rejected(`status ${statusCode}`));
     const parsed = schema.safeParse(JSON.parse(text));
-    if (!parsed.success) return Err(failed(kind, 'unreadable answer'));
+    if (!parsed.success) return Err(toFailure(kind, 'unreadable answer'));
     return Ok(parsed.data);
   }
 }
@@ -241,24 +235,6 @@
   return {kind: 'conflict', current: toKeyValues(kvs)[0]};
 }
 
-function toStoreError(kind: CallKind, error: unknown): StoreError {
-  const message = error instanceof Error ? error.message : String(error);
-  const code = getErrorCode(error);
-  if (code !== undefined && CERTAIN_ERROR_CODES.has(code)) {
-    return {kind: 'unavailable', message: `${code}: ${message}`};
-  }
-  return failed(kind, message);
-}
-
-function getErrorCode(error: unknown): string | undefined {
-  if (!(error instanceof Error) || !('code' in error)) return undefined;
-  return typeof error.code === 'string' ? error.code : undefined;
-}
-
-function failed(kind: CallKind, message: string): StoreError {
-  return {kind: kind === 'write' ? 'ambiguous' : 'unavailable', message};
-}
-
 function rejected(message: string): StoreError {
   return {kind: 'rejected', message};
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,6 +1,7 @@
 /** The platform's key-value service: interface, clients and call limiter. */
 
 export * from './types.js';
+export * from './call_errors.js';
 export * from './call_limiter.js';
 export * from './token_bucket.js';
 export * from './adaptive_rate.js';
