Draw modelled run times in one place; keep no unread start times

The two load models drew run times by the same formula: drawWorkMs serves both. The slot queue kept the start of each run, which nobody read: a set of jobs is enough.

--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -53,7 +53,7 @@
 
 /** Grants slots. */
 export class SlotScheduler {
-  private readonly running = new Map<Job, number>();
+  private readonly running = new Set<Job>();
   /** In the order of arrival. */
   private waiting: Job[] = [];
   /** Since when jobs have been waiting all the while. */
@@ -69,7 +69,7 @@
       if (isHopeless(job, nowMs)) {
         return {kind: 'refused', reason: 'deadline'};
       }
-      this.start(job, nowMs);
+      this.start(job);
       return {kind: 'started'};
     }
     const waitMs = this.estimateWaitMs(job, nowMs);
@@ -159,12 +159,12 @@
       if (!job) return;
       this.cancel(job);
       if (isHopeless(job, nowMs)) job.refuse('deadline');
-      else this.start(job, nowMs);
+      else this.start(job);
     }
   }
 
-  private start(job: Job, nowMs: number): void {
-    this.running.set(job, nowMs);
+  private start(job: Job): void {
+    this.running.add(job);
     job.start();
   }
 
@@ -208,7 +208,7 @@
   private getMeanRunningWorkMs(): number {
     if (this.running.size === 0) return 0;
     let sumMs = 0;
-    for (const job of this.running.keys()) sumMs += job.workMs;
+    for (const job of this.running) sumMs += job.workMs;
     return sumMs / this.running.size;
   }
 }
--- a/packages/routing/src/testing/overload_model.ts
+++ b/packages/routing/src/testing/overload_model.ts
@@ -1,6 +1,7 @@
 /** One target under a given load, on simulated time, for tests of policies. */
 
 import type {Job, SlotScheduler} from '../slot_scheduler.js';
+import {drawWorkMs} from './draw_work.js';
 
 /** One kind of request that the model sends. */
 export interface LoadKind {
@@ -29,8 +30,6 @@
 
 /** Period of the checks for jobs that can't be served any more. */
 const SWEEP_MS = 50;
-/** Spread of the run times: standard deviation of their logarithm. */
-const WORK_SPREAD = 0.5;
 const MS_PER_SECOND = 1_000;
 
 /** Plays a load against a scheduler. */
@@ -76,7 +75,7 @@
   private arrive(kind: LoadKind): void {
     const result = this.getResult(kind);
     const arrivedAtMs = this.nowMs;
-    const actualMs = this.drawWorkMs(kind.meanWorkMs);
+    const actualMs = drawWorkMs(kind.meanWorkMs, this.random);
     const refuse = () => {
       result.refused += 1;
       result.refusedHeldMs += this.nowMs - arrivedAtMs;
@@ -101,13 +100,6 @@
     if (outcome === 'refused') refuse();
   }
 
-  // Log-normal with the given mean.
-  private drawWorkMs(meanMs: number): number {
-    const radius = Math.sqrt(-2 * Math.log(1 - this.random()));
-    const normal = radius * Math.cos(2 * Math.PI * this.random());
-    return meanMs * Math.exp(WORK_SPREAD * normal - WORK_SPREAD ** 2 / 2);
-  }
-
   private getResult(kind: LoadKind): MutableResult {
     const result = this.results.get(kind.name);
     if (!result) throw new Error(`no result of ${kind.name}`);
--- a/packages/test-support/src/load_model/modelled_target.ts
+++ b/packages/test-support/src/load_model/modelled_target.ts
@@ -5,10 +5,9 @@
   TargetExchange,
   TargetRequest,
 } from '@cassiaknot/relay';
+import {drawWorkMs} from '@cassiaknot/routing/testing';
 import type {ModelCall, ModelKind, ModelTarget} from './types.js';
 
-/** Spread of the run times: standard deviation of their logarithm. */
-const WORK_SPREAD = 0.5;
 const FAILED_STATUS = 500;
 const EMPTY_BODY = new Uint8Array();
 
@@ -54,7 +53,8 @@
   }
 
   private work(kind: ModelKind, signal: AbortSignal): Promise<boolean> {
-    const runMs = this.target.speedFactor * this.drawWorkMs(kind.workMs);
+    const {random} = this.surroundings;
+    const runMs = this.target.speedFactor * drawWorkMs(kind.workMs, random);
     return new Promise(resolve => {
       const timer = setTimeout(() => resolve(true), runMs);
       const handleAbort = () => {
@@ -77,12 +77,4 @@
     }
     return true;
   }
-
-  // Log-normal with the given mean.
-  private drawWorkMs(meanMs: number): number {
-    const {random} = this.surroundings;
-    const radius = Math.sqrt(-2 * Math.log(1 - random()));
-    const normal = radius * Math.cos(2 * Math.PI * random());
-    return meanMs * Math.exp(WORK_SPREAD * normal - WORK_SPREAD ** 2 / 2);
-  }
 }
