--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -1,9 +1,10 @@
-/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership`. */
+/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|load`. */
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {runConvergenceBench} from './convergence_bench.js';
 import {runFleetBench} from './fleet_bench.js';
+import {runLoadBench} from './load_bench.js';
 import {runLatencyBench} from './latency_bench.js';
 import {runMembershipBench} from './membership_bench.js';
 
@@ -62,6 +63,21 @@
       print(runMembershipBench({sizes, dataCentres: 16}));
     },
   )
+  .command(
+    'load',
+    'a load model on the real entries and gates',
+    builder =>
+      builder
+        .option('scenario', {
+          type: 'string',
+          default: 'scenarios/three_data_centres.ini',
+        })
+        .option('seeds', {type: 'number', array: true, default: [1, 2, 3]}),
+    async args => {
+      const {scenario: scenarioPath, seeds} = args;
+      print(await runLoadBench({scenarioPath, seeds}));
+    },
+  )
   .demandCommand(1, 'Name a benchmark.')
   .strict()
   .parse();
