--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -67,7 +67,7 @@
 
 /** Returns a free block of loopback addresses, `127.a.b.`. */
 async function findAddressBlock() {
-  const ports = [...PORTS.range, PORTS.app, PORTS.outbound, PORTS.control];
+  const ports = Object.values(PORTS).flat();
   for (let attempt = 0; attempt < 50; attempt += 1) {
     const block = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}.`;
     const areFree = await Promise.all(
@@ -185,6 +185,11 @@
   };
   process.on('SIGTERM', finish);
   process.on('SIGINT', finish);
+  process.on('uncaughtException', error => {
+    review.write(`not run: ${error.stack}`);
+    status = NOT_RUN;
+    finish();
+  });
   try {
     const breaches = await Promise.race([body(review), limit]);
     for (const breach of breaches) review.write(`BROKEN ${breach}`);
--- a/review/lib/machine.mjs
+++ b/review/lib/machine.mjs
@@ -27,7 +27,10 @@
   readiness: 8302,
   outbound: 8304,
   control: 8306,
-  range: [7620, 7635],
+  /** The first two ports of `PortRange`, which the program uses. */
+  range: [7620, 7621],
+  /** `metrics` in deploy/system.toml. */
+  metrics: 9464,
 };
 
 async function readRunCommand() {
@@ -59,7 +62,7 @@
 LinkMbps = 1000.0
 DiskMb = 0
 [Network]
-PortRange = [${PORTS.range.join(',')}]
+PortRange = [${PORTS.range[0]},${PORTS.range[0] + 15}]
 SeedNodes = []
 [Network.Listen]
 Inbound = "${ip}:${PORTS.inbound}"
