Find a change behind a silent watch

Cause: a reader waits for changes on one connection and probes the store on another. A probe that succeeded counted as a contact with the source, which keeps all other instances from reading it, though the connection of the watch was silent. Nobody read the configuration until the watch ended after 25 s.

Change: a probe returns the revision of the store and counts as a contact only if the version read is known to be current up to there. Otherwise the reader asks, without waiting, on another connection, and replaces a watch that has missed a change (counted as watch-silent). A watch lasts 4 s, which bounds the delay if the probed revision is stale. The same for the reader of cassiaknotd (5 s, not 30 s). Idle watches of both sources now resume without another read of the head.

--- a/packages/coordination/src/actors/actor_messages.ts
+++ b/packages/coordination/src/actors/actor_messages.ts
@@ -11,7 +11,8 @@
   TargetCapacity,
   VersionDigest,
 } from '@cassiaknot/peer-protocol';
-import type {CatchUp} from '../configuration_log.js';
+import type {Result} from 'ts-results-es';
+import type {CatchUp, LogError} from '../configuration_log.js';
 import type {SourceReading} from '../configuration_source.js';
 import type {DeferredRef} from './actor_support.js';
 
@@ -142,7 +143,16 @@
   | {readonly kind: 'peer-supplies'}
   /** Checks the connection of a reader to the source. */
   | {readonly kind: 'probe'}
-  | {readonly kind: 'probed'; readonly error: string | undefined}
+  | {readonly kind: 'probed'; readonly result: Result<number, LogError>}
+  /** Checks whether the open watch has missed a change. */
+  | {readonly kind: 'verify-watch'; readonly storeRevision: number}
+  | {
+      readonly kind: 'watch-verified';
+      readonly watch: AbortController;
+      readonly storeRevision: number;
+      /** The version that the watch has missed, if any. */
+      readonly result: Result<SourceReading | undefined, LogError>;
+    }
   /** Checks whether any reader still reaches the source. */
   | {readonly kind: 'check-silence'}
   /** The head was read; `undefined` if a watch timed out. */
--- a/packages/coordination/src/actors/reader_actor.ts
+++ b/packages/coordination/src/actors/reader_actor.ts
@@ -3,6 +3,7 @@
  * role, and once whenever no reader seems to work.
  */
 
+import type {Result} from 'ts-results-es';
 import {Backoff} from '../backoff.js';
 import type {LogError} from '../configuration_log.js';
 import {describeLogError} from '../configuration_log.js';
@@ -18,6 +19,8 @@
 const MIN_RETRY_MS = 100;
 /** A change must be installed within seconds after the store recovers. */
 const MAX_RETRY_MS = 1_000;
+/** Time for the response of a watch to arrive after a probe has seen its change. */
+const WATCH_LAG_MS = 150;
 /** Factor of the delay while other readers reach the store. */
 const FRESH_RETRY_FACTOR = 4;
 
@@ -32,10 +35,14 @@
   /** Whether a call to the store, or the delay before a retry, is pending. */
   private isCallPending = false;
   private isProbePending = false;
+  /** Revision of the newest version read; undefined after a failed read. */
   private lastRevision: number | undefined;
+  /** Revision of the store up to which that version is known to be the newest. */
+  private verifiedRevision = 0;
   /** Version that the last catch-up was meant to reach. */
   private attemptedVersion = 0;
-  private watchController: AbortController | undefined;
+  /** Aborts the open watch. */
+  private watch: AbortController | undefined;
   /** Ends the pending read of the first configuration. */
   private firstRead: AbortController | undefined;
 
@@ -65,7 +72,13 @@
         this.probe();
         return;
       case 'probed':
-        this.handleProbe(message.error);
+        this.handleProbe(message.result);
+        return;
+      case 'verify-watch':
+        this.verifyWatch(message.storeRevision);
+        return;
+      case 'watch-verified':
+        this.handleVerification(message);
         return;
       case 'check-silence':
         this.checkSilence();
@@ -75,6 +88,7 @@
         return;
       case 'caught-up':
         this.lastRevision = message.reading.revision;
+        this.verifiedRevision = message.reading.revision;
         this.backoff.reset();
         this.scheduleWatch();
         return;
@@ -96,7 +110,7 @@
       COMPONENT,
       isReader ? 'Acquired the reader role.' : 'Released the reader role.',
     );
-    if (!isReader) this.watchController?.abort();
+    if (!isReader) this.watch?.abort();
     else if (!this.isCallPending) this.readHead();
   }
 
@@ -131,21 +145,21 @@
 
   private watchHead(afterRevision: number): void {
     this.isCallPending = true;
-    const controller = new AbortController();
-    this.watchController = controller;
+    const watch = new AbortController();
+    this.watch = watch;
     const {watchTimeoutMs} = this.context.options.timing;
     void this.source
-      .waitForNewer(afterRevision, watchTimeoutMs, controller.signal)
+      .waitForNewer(afterRevision, watchTimeoutMs, watch.signal)
       .then(result => {
+        if (this.watch !== watch) return;
         if (result.isErr()) this.reportFailure(result.error);
         else this.send({kind: 'head', reading: result.value});
       });
   }
 
   private handleHead(reading: SourceReading | undefined): void {
-    this.watchController = undefined;
+    this.watch = undefined;
     if (!reading) {
-      if (!this.source.canResumeIdleWatch) this.lastRevision = undefined;
       this.continue();
       return;
     }
@@ -189,25 +203,78 @@
     if (!this.isReader || this.isProbePending) return;
     this.isProbePending = true;
     void this.source.probe().then(result => {
-      const error = result.isErr() ? describeLogError(result.error) : undefined;
-      this.send({kind: 'probed', error});
+      this.send({kind: 'probed', result});
     });
   }
 
-  private handleProbe(error: string | undefined): void {
+  private handleProbe(result: Result<number, LogError>): void {
+    if (result.isErr()) {
+      this.handleProbeFailure(result.error);
+      return;
+    }
+    const storeRevision = result.value;
+    if (this.watch && storeRevision > this.verifiedRevision) {
+      // The probe's connection works, but perhaps not that of the watch.
+      setTimeout(
+        () => this.send({kind: 'verify-watch', storeRevision}),
+        WATCH_LAG_MS,
+      );
+      return;
+    }
     this.isProbePending = false;
-    const {observer} = this.context.options;
-    if (error === undefined) {
-      // After a failed read, the source counts as reached once a read succeeds.
-      if (this.lastRevision !== undefined) this.recordContact();
+    // After a failed read, the source counts as reached once a read succeeds.
+    if (this.lastRevision !== undefined) this.recordContact();
+  }
+
+  private verifyWatch(storeRevision: number): void {
+    const {watch, lastRevision} = this;
+    if (!watch || lastRevision === undefined) {
+      this.isProbePending = false;
+      return;
+    }
+    void this.source.readIfNewer(lastRevision).then(result => {
+      this.send({kind: 'watch-verified', watch, storeRevision, result});
+    });
+  }
+
+  private handleVerification(
+    message: Extract<ReaderMessage, {kind: 'watch-verified'}>,
+  ): void {
+    const {watch, storeRevision, result} = message;
+    // A watch that has ended meanwhile was alive.
+    if (watch !== this.watch) {
+      this.isProbePending = false;
+      return;
+    }
+    if (result.isErr()) {
+      this.handleProbeFailure(result.error);
       return;
     }
+    this.isProbePending = false;
+    const reading = result.value;
+    if (!reading) {
+      this.verifiedRevision = storeRevision;
+      this.recordContact();
+      return;
+    }
+    const {observer} = this.context.options;
+    observer.count('watch-silent');
+    observer.log('warn', COMPONENT, 'Watch missed a change. Replacing it.');
+    this.watch = undefined;
+    watch.abort();
+    this.handleHead(reading);
+  }
+
+  private handleProbeFailure(error: LogError): void {
+    this.isProbePending = false;
+    const {observer} = this.context.options;
     observer.count('store-read-failed');
     this.recordFailure();
-    if (!this.watchController) return;
-    observer.log('warn', COMPONENT, `Probe of the store failed: ${error}.`);
+    if (!this.watch) return;
+    const reason = describeLogError(error);
+    observer.log('warn', COMPONENT, `Probe of the store failed: ${reason}.`);
     this.lastRevision = undefined;
-    this.watchController.abort();
+    this.watch.abort();
   }
 
   private checkSilence(): void {
@@ -241,7 +308,7 @@
   }
 
   private scheduleRetry(message: string): void {
-    this.watchController = undefined;
+    this.watch = undefined;
     const {observer} = this.context.options;
     observer.count('store-read-failed');
     observer.log('warn', COMPONENT, `Can't read the store: ${message}.`);
--- a/packages/coordination/src/configuration_source.ts
+++ b/packages/coordination/src/configuration_source.ts
@@ -23,12 +23,18 @@
 
 /** A source of configuration versions; called by readers only. */
 export interface ConfigurationSource {
-  /** Whether a watch that timed out can resume from the same revision. */
-  readonly canResumeIdleWatch: boolean;
   /** Reads the newest version; aborting the signal ends the read as failed. */
   read(signal?: AbortSignal): Promise<Result<SourceReading, LogError>>;
-  /** Checks with a small read whether the source responds. */
-  probe(): Promise<Result<void, LogError>>;
+  /**
+   * Checks with a small read whether the source responds. Returns the revision of
+   * its store, which writes to other keys increase as well and which may be seconds
+   * old.
+   */
+  probe(): Promise<Result<number, LogError>>;
+  /** Reads the newest version without waiting; `undefined` if none is newer. */
+  readIfNewer(
+    afterRevision: number,
+  ): Promise<Result<SourceReading | undefined, LogError>>;
   /** Waits for a newer version; `undefined` after the timeout. */
   waitForNewer(
     afterRevision: number,
@@ -39,15 +45,13 @@
 
 /** The change log that the command-line tool writes. */
 export class LogSource implements ConfigurationSource {
-  // A watch that timed out may have missed writes, so the head is read again.
-  readonly canResumeIdleWatch = false;
   private readonly log: ConfigurationLog;
 
   constructor(private readonly store: KeyValueStore) {
     this.log = new ConfigurationLog(store);
   }
 
-  probe(): Promise<Result<void, LogError>> {
+  probe(): Promise<Result<number, LogError>> {
     return probeStore(this.store);
   }
 
@@ -56,6 +60,15 @@
     return result.map(reading => this.toReading(reading));
   }
 
+  async readIfNewer(
+    afterRevision: number,
+  ): Promise<Result<SourceReading | undefined, LogError>> {
+    const result = await this.read();
+    return result.map(reading =>
+      reading.revision > afterRevision ? reading : undefined,
+    );
+  }
+
   async waitForNewer(
     afterRevision: number,
     timeoutMs: number,
@@ -93,13 +106,11 @@
 ) => void;
 
 const DOCUMENT_HASH_CHARS = 12;
-/** Key that does not exist, so that its read is as small as possible. */
-const PROBE_KEY = 'cassiaknot/probe';
+/** Wait of a watch that returns at once; it reads the document only if changed. */
+const NO_WAIT_MS = 1;
 
 /** A single key with the complete configuration, written by another system. */
 export class DocumentSource implements ConfigurationSource {
-  readonly canResumeIdleWatch = true;
-
   constructor(
     private readonly store: KeyValueStore,
     private readonly key: string,
@@ -107,10 +118,16 @@
     private readonly onRejected: DocumentRejectionHandler,
   ) {}
 
-  probe(): Promise<Result<void, LogError>> {
+  probe(): Promise<Result<number, LogError>> {
     return probeStore(this.store);
   }
 
+  readIfNewer(
+    afterRevision: number,
+  ): Promise<Result<SourceReading | undefined, LogError>> {
+    return this.waitForNewer(afterRevision, NO_WAIT_MS);
+  }
+
   async read(signal?: AbortSignal): Promise<Result<SourceReading, LogError>> {
     const options = signal ? {signal} : {};
     const result = await this.store.get(this.key, options);
@@ -122,13 +139,13 @@
   async waitForNewer(
     afterRevision: number,
     timeoutMs: number,
-    signal: AbortSignal,
+    signal?: AbortSignal,
   ): Promise<Result<SourceReading | undefined, LogError>> {
     const result = await this.store.waitForChange({
       key: this.key,
       afterRevision,
       timeoutMs,
-      signal,
+      ...(signal ? {signal} : {}),
     });
     if (result.isErr()) return Err({kind: 'store', error: result.error});
     return Ok(result.value && this.toReading(result.value));
@@ -157,10 +174,10 @@
 
 async function probeStore(
   store: KeyValueStore,
-): Promise<Result<void, LogError>> {
-  const result = await store.get(PROBE_KEY, {mayBeStale: true});
+): Promise<Result<number, LogError>> {
+  const result = await store.getStaleRevision();
   if (result.isErr()) return newStoreError(result.error);
-  return Ok(undefined);
+  return Ok(result.value);
 }
 
 function newEmptyReading(revision: number): SourceReading {
--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -140,7 +140,7 @@
   remoteFetchDelayMs: 0,
   remoteSnapshotDelayMs: 0,
   fetchTimeoutMs: 400,
-  watchTimeoutMs: 30_000,
+  watchTimeoutMs: 5_000,
   watchPauseMs: 0,
   sourceSilenceMs: 5_000,
   startReadDelayMs: 5_000,
@@ -180,6 +180,7 @@
   | 'version-skipped'
   | 'digest-mismatch'
   | 'store-read-failed'
+  | 'watch-silent'
   | 'source-silent'
   | 'member-suspected'
   | 'member-buried'
--- a/packages/coordination/src/testing/test_fleet.ts
+++ b/packages/coordination/src/testing/test_fleet.ts
@@ -48,6 +48,7 @@
   readonly withoutStore = new Set<DataCentreId>();
   /** Latency of store responses by data centre. */
   readonly storeLatencyMs = new Map<DataCentreId, number>();
+  private readonly faultyStores = new Map<TestInstance, FaultyStore>();
   private commitCount = 0;
   private startCount = 0;
 
@@ -82,6 +83,7 @@
       () => (this.withoutStore.has(dataCentreId) ? 'unavailable' : 'none'),
       call => this.delayResponse(dataCentreId, call),
     );
+    this.faultyStores.set(instance, faultyStore);
     const store = new LimitedStore(faultyStore, UNLIMITED_CALLS, {
       onCall: operation => {
         const count = this.storeCalls.get(operation) ?? 0;
@@ -144,6 +146,11 @@
     coordinator?.abort();
   }
 
+  /** Silences the connections of all open watches; new ones work. */
+  silenceOpenWatches(): void {
+    for (const store of this.faultyStores.values()) store.silenceOpenWatches();
+  }
+
   /** Partitions a data centre from the others; `undefined` heals it. */
   setPartition(
     dataCentreId: DataCentreId,
--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -76,8 +76,9 @@
   remoteSnapshotDelayMs: 300,
   // Covers a configuration on its way over a slow link that others share.
   fetchTimeoutMs: 800,
-  // An unresponsive store connection is detected by probes, not by this timeout.
-  watchTimeoutMs: 25_000,
+  // Probes find a watch on a silent connection sooner, unless the revisions that
+  // they read are too old.
+  watchTimeoutMs: 4_000,
   // Merges the versions of a storm of changes.
   watchPauseMs: 400,
   // Readers give a sign of life each heartbeat. With the stagger between daemons
--- a/packages/daemon/src/mesh/mesh_overlay.test.ts
+++ b/packages/daemon/src/mesh/mesh_overlay.test.ts
@@ -17,6 +17,8 @@
 const PROPAGATION_LIMIT_MS = 2_000;
 /** Instances that watch the store in the whole mesh. */
 const READER_COUNT = 2;
+/** Time after a fault from which on changes must be in force in time again. */
+const CONTACT_MS = 3_000;
 const QUIET_MS = 60_000;
 /** Time limit for a restarted instance to serve; requests are refused until then. */
 const RESTART_LIMIT_MS = 400;
@@ -113,6 +115,19 @@
     }
   });
 
+  // A reader waited for a change on a connection that had gone silent, while its
+  // probes on another one kept all other instances from reading the store.
+  it('applies a change in time after the connections of all watches went silent', async () => {
+    await startFleet(LARGE_COUNT);
+    fleet.silenceOpenWatches();
+    await clock.tickAsync(CONTACT_MS);
+    const newVersion = await fleet.commit();
+    await clock.tickAsync(PROPAGATION_LIMIT_MS);
+    for (const instance of fleet.instances) {
+      expect(getVersion(instance), instance.instanceId).to.equal(newVersion);
+    }
+  });
+
   it('applies the last version of a storm in time', async () => {
     await startFleet(LARGE_COUNT);
     let version = 0;
--- a/packages/store/src/etcd_messages.ts
+++ b/packages/store/src/etcd_messages.ts
@@ -20,6 +20,7 @@
 
 /** Response of `/v3/kv/range`. */
 export const ETCD_RANGE_SCHEMA = z.object({
+  header: HEADER_SCHEMA.optional(),
   kvs: z.array(ETCD_KEY_VALUE_SCHEMA).default([]),
 });
 
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -44,6 +44,8 @@
 
 const MS_PER_SECOND = 1_000;
 const MAX_CONNECTIONS = 8;
+/** Key that does not exist, so that a read of the store revision is small. */
+const ABSENT_KEY = 'cassiaknot/none';
 
 /** Key-value store client over HTTP. */
 export class HttpStore implements KeyValueStore {
@@ -91,6 +93,20 @@
     return response.map(range => toKeyValues(range.kvs));
   }
 
+  async getStaleRevision(): StoreResult<number> {
+    const body = {
+      key: encodeBase64(ABSENT_KEY),
+      ...toConsistencyField({mayBeStale: true}),
+    };
+    const response = await this.call(
+      'read',
+      'kv/range',
+      body,
+      ETCD_RANGE_SCHEMA,
+    );
+    return response.map(range => range.header?.revision ?? 0);
+  }
+
   async compareAndSwap(cas: CasRequest): StoreResult<CasOutcome> {
     const key = encodeBase64(cas.key);
     const put = {
--- a/packages/store/src/in_memory_store.ts
+++ b/packages/store/src/in_memory_store.ts
@@ -43,6 +43,10 @@
     return Promise.resolve(Ok(found.slice(0, limit)));
   }
 
+  getStaleRevision(): StoreResult<number> {
+    return Promise.resolve(Ok(this.revision));
+  }
+
   compareAndSwap(request: CasRequest): StoreResult<CasOutcome> {
     const current = this.entries.get(request.key);
     const revision = current?.revision ?? ABSENT_REVISION;
--- a/packages/store/src/limited_store.ts
+++ b/packages/store/src/limited_store.ts
@@ -59,6 +59,10 @@
     return this.run(operation, () => this.store.list(prefix, limit, options));
   }
 
+  getStaleRevision(): StoreResult<number> {
+    return this.run('stale-get', () => this.store.getStaleRevision());
+  }
+
   compareAndSwap(request: CasRequest): StoreResult<CasOutcome> {
     return this.run('compare-and-swap', () =>
       this.store.compareAndSwap(request),
--- a/packages/store/src/testing/faulty_store.ts
+++ b/packages/store/src/testing/faulty_store.ts
@@ -1,7 +1,7 @@
 /** Injects faults into store calls: lost requests or responses, and delay. */
 
 import type {Result} from 'ts-results-es';
-import {Err} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
 import type {
   CasOutcome,
   CasRequest,
@@ -33,9 +33,13 @@
 /** Lets a test decide in which order the calls of several clients run. */
 export type CallScheduler = <T>(call: () => Promise<T>) => Promise<T>;
 
+/** Time after the end of a watch at which a client gives up its response. */
+const LOST_WATCH_MARGIN_MS = 1_000;
+
 /** Wraps a store and injects a fault into each call. */
 export class FaultyStore implements KeyValueStore {
   private readonly delayedWrites: Array<() => Promise<unknown>> = [];
+  private silenceCount = 0;
 
   constructor(
     private readonly store: KeyValueStore,
@@ -53,6 +57,14 @@
     while (this.delayedWrites.length > 0) await this.applyOldestDelayed();
   }
 
+  /**
+   * Silences the connections of the open watches for good: their clients see
+   * neither a change nor an error. Connections opened later work.
+   */
+  silenceOpenWatches(): void {
+    this.silenceCount += 1;
+  }
+
   get(key: string, options?: ReadOptions): StoreResult<KeyValue | undefined> {
     return this.run(false, () => this.store.get(key, options));
   }
@@ -65,6 +77,10 @@
     return this.run(false, () => this.store.list(prefix, limit, options));
   }
 
+  getStaleRevision(): StoreResult<number> {
+    return this.run(false, () => this.store.getStaleRevision());
+  }
+
   compareAndSwap(request: CasRequest): StoreResult<CasOutcome> {
     return this.run(true, () => this.store.compareAndSwap(request));
   }
@@ -80,9 +96,15 @@
   async waitForChange(
     request: WatchRequest,
   ): Promise<Result<KeyValue | undefined, StoreError>> {
+    const {silenceCount} = this;
+    const startedAtMs = performance.now();
     const change = await this.run(false, () =>
       this.store.waitForChange(request),
     );
+    if (silenceCount !== this.silenceCount) {
+      const waitedMs = performance.now() - startedAtMs;
+      return loseWatch(request, waitedMs);
+    }
     // The store may have become unreachable while the watch was waiting.
     return this.plan(false) === 'none' ? change : newError('unavailable');
   }
@@ -130,6 +152,20 @@
   }
 }
 
+async function loseWatch(
+  request: WatchRequest,
+  waitedMs: number,
+): Promise<Result<KeyValue | undefined, StoreError>> {
+  const {signal, timeoutMs} = request;
+  const leftMs = timeoutMs + LOST_WATCH_MARGIN_MS - waitedMs;
+  await new Promise<void>(resolve => {
+    if (signal?.aborted === true) resolve();
+    signal?.addEventListener('abort', () => resolve());
+    setTimeout(resolve, leftMs);
+  });
+  return signal?.aborted === true ? Ok(undefined) : newError('unavailable');
+}
+
 function newError(kind: StoreErrorKind): Err<StoreError> {
   return Err({kind, message: 'injected fault'});
 }
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -96,6 +96,11 @@
     limit: number,
     options?: ReadOptions,
   ): StoreResult<readonly KeyValue[]>;
+  /**
+   * Reads the revision of the whole store, which each write increases. The
+   * response may be seconds old.
+   */
+  getStaleRevision(): StoreResult<number>;
   /** Writes a key if its revision is still the expected one. */
   compareAndSwap(request: CasRequest): StoreResult<CasOutcome>;
   /** Writes a key unconditionally. */
--- a/packages/test-support/src/fake_store_server.ts
+++ b/packages/test-support/src/fake_store_server.ts
@@ -158,13 +158,15 @@
 
   private async range(request: z.infer<typeof RANGE_SCHEMA>): Promise<unknown> {
     const key = decodeBase64(request.key);
+    const revision = (await this.memory.getStaleRevision()).unwrap();
+    const header = {revision: String(revision)};
     if (request.range_end === undefined) {
       const found = (await this.memory.get(key)).unwrap();
-      return {kvs: found ? [encodeKeyValue(found)] : []};
+      return {header, kvs: found ? [encodeKeyValue(found)] : []};
     }
     // The store client sends a range end only to list the keys with a prefix.
     const found = (await this.memory.list(key, request.limit)).unwrap();
-    return {kvs: found.map(encodeKeyValue)};
+    return {header, kvs: found.map(encodeKeyValue)};
   }
 
   private async put(request: z.infer<typeof PUT_SCHEMA>): Promise<unknown> {
--- a/packages/test-support/src/http_store.test.ts
+++ b/packages/test-support/src/http_store.test.ts
@@ -31,6 +31,12 @@
     expect((await store.get('a/1')).unwrap()).to.equal(undefined);
   });
 
+  it('reads the revision of the store, which any write increases', async () => {
+    const before = (await store.getStaleRevision()).unwrap();
+    await store.put('a', 'x');
+    expect((await store.getStaleRevision()).unwrap()).to.be.above(before);
+  });
+
   it('compares and swaps only at the expected revision', async () => {
     const request = {key: 'k', value: 'x', expectedRevision: 0};
     const first = (await store.compareAndSwap(request)).unwrap();
