Accept only addresses that can be dialled

Cause: the schema of addresses let through ports above 65,535 and hosts that no URL can hold; the WebSocket constructor throws on them, in an actor, which counts as a broken invariant.

--- a/packages/coordination/src/actors/seeds_actor.ts
+++ b/packages/coordination/src/actors/seeds_actor.ts
@@ -21,6 +21,7 @@
 const REMOTE_SEEDS_DIALLED = 1;
 const MIN_RELIST_MS = 500;
 const MAX_RELIST_MS = 10_000;
+const MAX_LOGGED_KEYS = 5;
 const RENEWALS_PER_TTL = 3;
 /** Delay after a failed renewal: a seed must be listed again soon after an outage. */
 const MIN_REREGISTER_MS = 500;
@@ -43,6 +44,8 @@
   private leaseId: LeaseId | undefined;
   /** Whether the seed key was written with the current lease. */
   private hasKey = false;
+  /** Seed keys whose address can't be used, as last logged. */
+  private loggedUnusableKeys = '';
 
   constructor(private readonly context: ControlContext) {
     const options = {minDelayMs: MIN_RELIST_MS, maxDelayMs: MAX_RELIST_MS};
@@ -104,7 +107,26 @@
     });
   }
 
+  // Logs a set of unusable keys once, however often it is listed.
+  private logUnusableSeeds(seeds: readonly KeyValue[]): void {
+    const keys = seeds
+      .filter(({value}) => !PEER_ADDRESS_SCHEMA.safeParse(value).success)
+      .map(({key}) => key);
+    const logged = keys.slice(0, MAX_LOGGED_KEYS).join(', ');
+    if (logged === this.loggedUnusableKeys) return;
+    this.loggedUnusableKeys = logged;
+    if (keys.length === 0) return;
+    const {observer} = this.context.options;
+    observer.count('seed-unusable');
+    observer.log(
+      'warn',
+      COMPONENT,
+      `Ignoring ${keys.length} seed keys without a usable address: ${logged}.`,
+    );
+  }
+
   private chooseSeeds(seeds: readonly KeyValue[]): PeerAddress[] {
+    this.logUnusableSeeds(seeds);
     const {dataCentreId} = this.context.options.identity;
     const localPrefix = `${SEED_PREFIX}${dataCentreId}/`;
     const local = seeds.filter(seed => seed.key.startsWith(localPrefix));
--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -182,6 +182,7 @@
   | 'store-read-failed'
   | 'watch-silent'
   | 'source-silent'
+  | 'seed-unusable'
   | 'member-suspected'
   | 'member-buried'
   | 'suspicion-refuted'
--- a/packages/peer-protocol/src/addresses.ts
+++ b/packages/peer-protocol/src/addresses.ts
@@ -9,10 +9,14 @@
 /** Address on which a daemon accepts requests for its local target. */
 export type GateAddress = Branded<'GateAddress'>;
 
-const HOST_PORT_SCHEMA = z
+const MAX_PORT = 65_535;
+
+/** Validates an address that a client can connect to. */
+export const HOST_PORT_SCHEMA = z
   .string()
   .max(64)
-  .regex(/^[0-9a-zA-Z.[\]:-]+:\d{1,5}$/);
+  .regex(/^[0-9a-zA-Z.[\]:-]+:\d{1,5}$/, 'not host:port')
+  .refine(isConnectable, 'host or port out of range');
 
 /** Validates a peer address. */
 export const PEER_ADDRESS_SCHEMA = HOST_PORT_SCHEMA.transform(value =>
@@ -23,6 +27,11 @@
   brandId<GateAddress>(value),
 );
 
+function isConnectable(address: string): boolean {
+  const {port} = splitAddress(address);
+  return port >= 1 && port <= MAX_PORT && URL.canParse(`http://${address}`);
+}
+
 /** Host and port of an address. */
 export interface HostPort {
   readonly host: string;
--- a/packages/test-support/src/system/failures.test.ts
+++ b/packages/test-support/src/system/failures.test.ts
@@ -93,6 +93,24 @@
     expect(result.body.length).to.equal(3_000_000);
   });
 
+  // Another writer's seed key with an impossible address ended every process that
+  // listed it, again after each start.
+  it('starts and finds its peers beside seed keys that can not be dialled', async () => {
+    const {memory} = mesh.store;
+    for (const value of ['127.0.0.1:99999', '[[]]:80', '[::zz]:8080', '{{{']) {
+      await memory.put(`cassiaknot/seed/lautoka/odd-${value}`, value);
+    }
+    const {daemon} = catalogueA;
+    await daemon.kill();
+    await daemon.launch();
+    await mesh.waitForTargets('catalogue', 2);
+    const {result} = await history.call(daemon.getEntryUrl(), {
+      method: 'GET',
+      path: '/catalogue/x',
+    });
+    expect(result.outcome, result.reason).to.equal('answered');
+  });
+
   it('sends no new requests to a draining target and completes its running ones', async () => {
     const running = history.call(catalogueA.daemon.getEntryUrl(), {
       method: 'POST',
