Ignore announcements of services that are not configured

Callers saw: after one heartbeat of another writer with an unknown service, another id and a later start, the sound target at that address got no request any more.

Cause: a later start always took the place of the current target, whatever it named. The sound target's own heartbeats then counted as older.

Change: a start of a service that the configuration in force doesn't name is ignored, and one that was accepted before there was a configuration gives way to a target of a known service. A target whose service was removed may still leave.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -84,6 +84,8 @@
     this.coordinator = this.newCoordinator();
     this.localTarget = new LocalTarget({
       getAddress: options.getTargetAddress,
+      isKnownService: serviceId =>
+        this.appliedVersion === 0 || this.findService(serviceId) !== undefined,
       newClient: (address, slots) => new HttpTargetClient(address, slots),
       observer: this.observer,
       onTargetChange: () => this.gate.publishTargetState(),
--- a/packages/relay/src/local_target.ts
+++ b/packages/relay/src/local_target.ts
@@ -4,6 +4,7 @@
  * late and forged ones are ignored.
  */
 
+import type {ServiceId} from '@cassiaknot/inventory';
 import type {RelayObserver} from './observer.js';
 import type {TargetAnnouncement, TargetStart} from './target_announcement.js';
 import {compareAnnouncements, isSameStart} from './target_announcement.js';
@@ -17,12 +18,18 @@
   | 'draining'
   | 'stale'
   | 'has-left'
-  | 'other-address';
+  | 'other-address'
+  | 'unknown-service';
 
 /** Dependencies of a {@link LocalTarget}. */
 export interface LocalTargetOptions {
   /** `host:port` at which the local target listens. */
   readonly getAddress: () => string;
+  /**
+   * Whether the configuration in force names the service; `true` while there is
+   * none.
+   */
+  readonly isKnownService: (serviceId: ServiceId) => boolean;
   readonly newClient: (address: string, slots: number) => RelayTargetClient;
   readonly observer: RelayObserver;
   /** Called when the target, its number of slots or its state changes. */
@@ -70,8 +77,18 @@
       return 'other-address';
     }
     const {session} = this;
-    if (!session) return this.replace(announcement);
-    const order = compareAnnouncements(session.getAnnouncement(), announcement);
+    const {isKnownService} = this.options;
+    const isKnown = isKnownService(announcement.serviceId);
+    if (!session) {
+      return isKnown ? this.replace(announcement) : 'unknown-service';
+    }
+    const current = session.getAnnouncement();
+    const order = compareAnnouncements(current, announcement);
+    // A target may still leave after its service was removed.
+    if (!isKnown && order === 'newer-start') return 'unknown-service';
+    if (isKnown && !isKnownService(current.serviceId)) {
+      return this.replace(announcement);
+    }
     switch (order) {
       case 'newer-start':
         return this.replace(announcement);
--- a/packages/relay/src/target_announcement.test.ts
+++ b/packages/relay/src/target_announcement.test.ts
@@ -28,9 +28,12 @@
   }
 }
 
-function newLocalTarget(): LocalTarget {
+function newLocalTarget(
+  isKnownService: (serviceId: ServiceId) => boolean = () => true,
+): LocalTarget {
   return new LocalTarget({
     getAddress: () => ADDRESS,
+    isKnownService,
     newClient: () => new IdleClient(),
     observer: OBSERVER,
     onTargetChange: () => undefined,
@@ -87,6 +90,41 @@
     expect(target.getSession()).to.equal(undefined);
   });
 
+  // Such an announcement of another writer displaced the sound target, whose own
+  // ones then counted as older, for good.
+  it('keeps its target when a service is announced that is not configured', () => {
+    const target = newLocalTarget(serviceId => serviceId === 's');
+    target.announce(newAnnouncement());
+    const odd = newAnnouncement({
+      targetId: 'odd',
+      serviceId: brandId<ServiceId>('odd'),
+      startedAtMs: 9_000,
+    });
+    expect(target.announce(odd)).to.equal('unknown-service');
+    expect(target.getSession()?.getAnnouncement().targetId).to.equal('a');
+    expect(target.announce(newAnnouncement({sequence: 2}))).to.equal('updated');
+  });
+
+  it('replaces a target whose service turns out not to be configured', () => {
+    const configured = new Set<ServiceId>();
+    const target = newLocalTarget(
+      serviceId => configured.size === 0 || configured.has(serviceId),
+    );
+    const serviceId = brandId<ServiceId>('odd');
+    target.announce(newAnnouncement({serviceId, startedAtMs: 9_000}));
+    configured.add(brandId<ServiceId>('s'));
+    expect(target.announce(newAnnouncement())).to.equal('new-target');
+  });
+
+  it('lets a target leave whose service is no longer configured', () => {
+    const configured = new Set([brandId<ServiceId>('s')]);
+    const target = newLocalTarget(id => configured.has(id));
+    target.announce(newAnnouncement());
+    configured.clear();
+    const draining = newAnnouncement({sequence: 2, state: 'draining'});
+    expect(target.announce(draining)).to.equal('draining');
+  });
+
   it('never reopens a draining target', () => {
     const target = newLocalTarget();
     target.announce(newAnnouncement());
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -56,6 +56,7 @@
 
   constructor(slots = 4) {
     this.localTarget = new LocalTarget({
+      isKnownService: () => true,
       getAddress: () => ADDRESS,
       newClient: () => this,
       observer: this.observer,
--- a/packages/test-support/src/load_model/modelled_instance.ts
+++ b/packages/test-support/src/load_model/modelled_instance.ts
@@ -55,6 +55,7 @@
     const {observer, seed} = environment;
     const address = target.instanceId;
     this.localTarget = new LocalTarget({
+      isKnownService: () => true,
       getAddress: () => address,
       newClient: () => new ModelledTarget(target, environment),
       observer,
