Return to a target that denies to be the announced one

Callers saw: an announcement of another writer with a plausible later start hid the sound target for good, as its own announcements counted as older. Requests for the announced id were refused by the target with status 421.

Cause: the order of start times alone decided which target is at the address; the refusal of the target itself only marked the session as down.

Change: a session whose target has refused a request as another one gives way to the next announcement with another id. Targets that have left are remembered by id and start, so that a late announcement of theirs reopens nothing.

Measured: "returns to the target that refuses requests for the announced id" and "never returns to a target that has left" failed before, pass now.

--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -315,7 +315,7 @@
         });
         return;
       case 'not-run':
-        if (classification.isOtherInstance) session.markDown();
+        if (classification.isOtherInstance) session.markMisdirected();
         else this.applyReport(session, headers);
         this.settleRefusal(call, 'target-refused', true);
         return;
--- a/packages/relay/src/local_target.ts
+++ b/packages/relay/src/local_target.ts
@@ -37,10 +37,14 @@
 }
 
 const COMPONENT = 'target';
+/** Targets that have left whose late announcements are recognised. */
+const MAX_DEPARTED = 8;
 
 /** Holds the session of the current target. */
 export class LocalTarget {
   private session: RelayTargetSession | undefined;
+  /** Earlier targets that have left, oldest first. */
+  private readonly departed: TargetStart[] = [];
 
   constructor(private readonly options: LocalTargetOptions) {}
 
@@ -76,6 +80,7 @@
     if (announcement.address !== this.options.getAddress()) {
       return 'other-address';
     }
+    if (this.hasDeparted(announcement)) return 'has-left';
     const {session} = this;
     const {isKnownService} = this.options;
     const isKnown = isKnownService(announcement.serviceId);
@@ -86,9 +91,10 @@
     const order = compareAnnouncements(current, announcement);
     // A target may still leave after its service was removed.
     if (!isKnown && order === 'newer-start') return 'unknown-service';
-    if (isKnown && !isKnownService(current.serviceId)) {
-      return this.replace(announcement);
-    }
+    const isDisproved =
+      !isKnownService(current.serviceId) ||
+      (session.isMisdirected() && current.targetId !== announcement.targetId);
+    if (isKnown && isDisproved) return this.replace(announcement);
     switch (order) {
       case 'newer-start':
         return this.replace(announcement);
@@ -100,7 +106,7 @@
   }
 
   private replace(announcement: TargetAnnouncement): AnnouncementOutcome {
-    this.session?.end();
+    this.endSession();
     const {newClient, onTargetChange} = this.options;
     const {address, slots, state} = announcement;
     const client = newClient(address, slots);
@@ -110,6 +116,22 @@
     return state === 'draining' ? 'draining' : 'new-target';
   }
 
+  // Without a start time, a late announcement can't be told from a restart.
+  private hasDeparted({targetId, startedAtMs}: TargetStart): boolean {
+    if (startedAtMs === undefined) return false;
+    return this.departed.some(
+      start => start.targetId === targetId && start.startedAtMs === startedAtMs,
+    );
+  }
+
+  private endSession(): void {
+    const {session} = this;
+    if (!session) return;
+    if (session.hasLeft()) this.departed.push(session.getAnnouncement());
+    if (this.departed.length > MAX_DEPARTED) this.departed.shift();
+    session.end();
+  }
+
   private update(
     session: RelayTargetSession,
     announcement: TargetAnnouncement,
--- a/packages/relay/src/target_announcement.test.ts
+++ b/packages/relay/src/target_announcement.test.ts
@@ -105,6 +105,31 @@
     expect(target.announce(newAnnouncement({sequence: 2}))).to.equal('updated');
   });
 
+  // An announcement of another writer with a later start displaced the sound target
+  // for good, though that target refused all requests for the other id.
+  it('returns to the target that refuses requests for the announced id', () => {
+    const target = newLocalTarget();
+    target.announce(newAnnouncement());
+    target.announce(newAnnouncement({targetId: 'odd', startedAtMs: 9_000}));
+    expect(target.announce(newAnnouncement({sequence: 2}))).to.equal('stale');
+    target.getSession()?.markMisdirected();
+    expect(target.getSession()?.getState()).to.equal('down');
+    expect(target.announce(newAnnouncement({sequence: 3}))).to.equal(
+      'new-target',
+    );
+    expect(target.getSession()?.getAnnouncement().targetId).to.equal('a');
+  });
+
+  it('never returns to a target that has left', () => {
+    const target = newLocalTarget();
+    target.announce(newAnnouncement());
+    target.leave({targetId: 'a', startedAtMs: 1_000});
+    target.announce(newAnnouncement({targetId: 'odd', startedAtMs: 9_000}));
+    target.getSession()?.markMisdirected();
+    const late = newAnnouncement({sequence: 2});
+    expect(target.announce(late)).to.equal('has-left');
+  });
+
   it('replaces a target whose service turns out not to be configured', () => {
     const configured = new Set<ServiceId>();
     const target = newLocalTarget(
--- a/packages/relay/src/target_session.ts
+++ b/packages/relay/src/target_session.ts
@@ -37,6 +37,7 @@
   private foreignResponseExpiresAtMs = 0;
   private lastProgressAtMs: number;
   private isProbing = false;
+  private isAnotherTarget = false;
 
   constructor(
     private announcement: TargetAnnouncement,
@@ -132,8 +133,23 @@
     this.onStateChange();
   }
 
+  /**
+   * Records that the target at the address has refused a request because it is
+   * another one than was announced.
+   */
+  markMisdirected(): void {
+    this.isAnotherTarget = true;
+    this.markDown();
+  }
+
+  /** Whether the target at the address has denied to be the announced one. */
+  isMisdirected(): boolean {
+    return this.isAnotherTarget;
+  }
+
   /** Admits requests again after the target was down. */
   markUp(): void {
+    this.isAnotherTarget = false;
     if (this.state !== 'down') return;
     this.state = 'open';
     this.onStateChange();
