Hold no read buffers for small parts of a response

Cause: the limits on responses count the bytes of bodies, but each part is a view of the buffer that its connection was read into, and keeps it alive.

Change: small parts are copied together into blocks of the body.

--- a/packages/relay/src/endless_response.test.ts
+++ b/packages/relay/src/endless_response.test.ts
@@ -48,6 +48,15 @@
     start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=',
     block: BLOCK,
   },
+  // Each byte of the body held the whole block in which it was read.
+  'chunk lines': {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    block: Buffer.from(`1;a=${'x'.repeat(70_000)}\r\nx\r\n`),
+  },
+  'chunks of one byte': {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    block: Buffer.from('1\r\nx\r\n'.repeat(10_000)),
+  },
   trailers: {
     start:
       'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n',
--- a/packages/relay/src/response_memory.ts
+++ b/packages/relay/src/response_memory.ts
@@ -4,6 +4,8 @@
  * would otherwise fill the memory long before each reaches a limit of its own.
  */
 
+import {BodyBuffer} from './body_buffer.js';
+
 /** Limits of a {@link ResponseMemory}. */
 export interface ResponseMemoryLimits {
   readonly maxResponseBytes: number;
@@ -57,8 +59,7 @@
 
 /** The bytes of one response read so far. */
 export class ResponseBuffer {
-  private chunks: Uint8Array[] = [];
-  private size = 0;
+  private readonly body = new BodyBuffer();
   private hasExceededLimit = false;
 
   constructor(
@@ -67,7 +68,7 @@
   ) {}
 
   getSize(): number {
-    return this.size;
+    return this.body.getSize();
   }
 
   /** Whether the response exceeded a limit and was dropped. */
@@ -77,24 +78,20 @@
 
   append(chunk: Uint8Array): void {
     if (this.hasExceededLimit) return;
-    this.chunks.push(chunk);
-    this.size += chunk.byteLength;
+    this.body.append(chunk);
     this.memory.handleGrowth(this, chunk.byteLength);
   }
 
   /** Returns the complete body and releases the buffer. */
   take(): Uint8Array {
-    const [first] = this.chunks;
-    const isSingle = first !== undefined && this.chunks.length === 1;
-    const body = isSingle ? first : Buffer.concat(this.chunks, this.size);
-    this.release();
-    return body;
+    this.memory.handleRelease(this);
+    return this.body.take();
   }
 
   /** Drops the bytes. */
   release(): void {
     this.memory.handleRelease(this);
-    this.chunks = [];
+    this.body.clear();
   }
 
   /** Drops the bytes and ends the response. */
