Hold no object for each chunk of a request body

Callers would see: one request of 2 MiB in chunks of one byte made the process hold 460 MB until the body was complete; the machine has 350 MB.

Change: bodies of requests are collected in the same blocks as responses.

--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -11,6 +11,8 @@
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
 
 const HOST = '127.0.0.1';
+/** Memory of the smallest instances, less that of a process at rest. */
+const MAX_ADDED_BYTES = 180 * 1024 * 1024;
 
 const OBSERVER: RelayObserver = {
   log: () => undefined,
@@ -160,6 +162,32 @@
     expect(bodies).to.have.members(['hello', 'hello', '']);
   });
 
+  // Each chunk of a body was kept as an object of its own until the body was complete.
+  it('bounds the memory for a body in chunks of one byte', async () => {
+    const chunk = '1\r\nx\r\n';
+    const chunkCount = 1024 * 1024;
+    let bodyBytes = 0;
+    let peakBytes = 0;
+    const getMemoryBytes = () => {
+      const {heapUsed, external} = process.memoryUsage();
+      return heapUsed + external;
+    };
+    const request =
+      'POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n' +
+      `Transfer-Encoding: chunked\r\n\r\n${chunk.repeat(chunkCount)}0\r\n\r\n`;
+    const before = getMemoryBytes();
+    const sampler = setInterval(() => {
+      peakBytes = Math.max(peakBytes, getMemoryBytes() - before);
+    }, 1);
+    await exchange(({body}) => {
+      bodyBytes = body.byteLength;
+      return Promise.resolve(answer('ok', true));
+    }, request);
+    clearInterval(sampler);
+    expect(bodyBytes).to.equal(chunkCount);
+    expect(peakBytes).to.be.below(MAX_ADDED_BYTES);
+  });
+
   // A busy event loop reads a request when its caller has already left, and the
   // closed connection only after that. Such requests were sent to targets.
   it('routes no request whose caller left before a late event loop read it', async () => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -6,6 +6,7 @@
 import {Server as NetServer} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
+import {BodyBuffer} from './body_buffer.js';
 import type {HeaderCodec} from './header_codec.js';
 import {HOP_BY_HOP_HEADERS} from './header_codec.js';
 import type {RelayEntry} from './entry.js';
@@ -317,20 +318,16 @@
   if (length > maxBytes) return {kind: 'too-large'};
   const hasBody = length > 0 || headers['transfer-encoding'] !== undefined;
   if (!hasBody) return {kind: 'body', body: EMPTY_BODY};
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new BodyBuffer();
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.byteLength;
-      if (size > maxBytes) return {kind: 'too-large'};
-      chunks.push(chunk);
+      body.append(chunk);
+      if (body.getSize() > maxBytes) return {kind: 'too-large'};
     }
   } catch {
     // The caller disconnected mid-body; nothing has been forwarded yet.
     return {kind: 'incomplete'};
   }
   if (!request.complete) return {kind: 'incomplete'};
-  const [first] = chunks;
-  const isSingle = first && chunks.length === 1;
-  return {kind: 'body', body: isSingle ? first : Buffer.concat(chunks, size)};
+  return {kind: 'body', body: body.take()};
 }
