Refuse requests that a planned stop can't complete

Cause: http.Server counts a connection as idle only after its first request, so that an unused one, or one with half a head, stayed open and was served until the end of the process, whatever time was left.

--- a/packages/daemon/src/mesh/graceful_shutdown.test.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.test.ts
@@ -13,6 +13,7 @@
   readonly steps = new Map<string, number>();
   inFlightRequests = 0;
   lastRequestMs = 0;
+  serveUntilMs = NaN;
 
   beginDrain(): void {
     this.record('begin-drain');
@@ -22,7 +23,8 @@
     this.record('close-gate');
   }
 
-  drainCallerConnections(): void {
+  drainCallerConnections(serveUntilMs: number): void {
+    this.serveUntilMs = serveUntilMs;
     this.record('drain-callers');
   }
 
@@ -70,6 +72,20 @@
     );
   });
 
+  it('limits requests to what can be complete when it ends', async () => {
+    const hooks = new FakeShutdownHooks();
+    hooks.inFlightRequests = 1;
+    let endedMs = NaN;
+    void shutDownGracefully(hooks, GRACE_PERIOD_MS).then(() => {
+      endedMs = performance.now();
+    });
+    await clock.tickAsync(GRACE_PERIOD_MS);
+    expect(hooks.serveUntilMs).to.be.above(
+      hooks.getStepMs('drain-callers') + READINESS_DETECTION_MS,
+    );
+    expect(hooks.serveUntilMs).to.be.below(endedMs);
+  });
+
   it('gives entries time to learn that the gate has closed', async () => {
     const hooks = new FakeShutdownHooks();
     let endedMs = NaN;
--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -10,8 +10,11 @@
   beginDrain(): void;
   /** Refuses new requests for the target. */
   closeGate(): void;
-  /** Asks callers to close their connections after the current request. */
-  drainCallerConnections(): void;
+  /**
+   * Asks callers to close their connections after the current request. Requests that
+   * may not be complete at the given time are refused from now on.
+   */
+  drainCallerConnections(serveUntilMs: number): void;
   /** Stops accepting connections. */
   stopAccepting(): void;
   /** Requests in flight, both from callers and at the target. */
@@ -34,6 +37,8 @@
  * and flushing the log.
  */
 const FINAL_WRITE_RESERVE_MS = 600;
+/** Reserved before that for writing the last responses. */
+const LAST_RESPONSE_RESERVE_MS = 100;
 const POLL_INTERVAL_MS = 50;
 
 /** Runs the shutdown; `false` if requests were still in flight at the end. */
@@ -43,10 +48,11 @@
 ): Promise<boolean> {
   const startMs = performance.now();
   const getElapsedMs = () => performance.now() - startMs;
+  const deadlineMs = gracePeriodMs - FINAL_WRITE_RESERVE_MS;
   hooks.beginDrain();
   await sleep(READINESS_PROPAGATION_MS);
   hooks.closeGate();
-  hooks.drainCallerConnections();
+  hooks.drainCallerConnections(startMs + deadlineMs - LAST_RESPONSE_RESERVE_MS);
   // Keeps running to refuse the offers that entries send before they learn that
   // the gate has closed.
   await sleep(IDLE_MS);
@@ -54,7 +60,6 @@
     await sleep(POLL_INTERVAL_MS);
   }
   hooks.stopAccepting();
-  const deadlineMs = gracePeriodMs - FINAL_WRITE_RESERVE_MS;
   while (hooks.getInFlightCount() > 0 && getElapsedMs() < deadlineMs) {
     await sleep(POLL_INTERVAL_MS);
   }
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -164,7 +164,8 @@
     return {
       beginDrain: () => this.coordinator.beginDrain(),
       closeGate: () => this.gate.stopAdmission(),
-      drainCallerConnections: () => this.callerServer.requestClose(),
+      drainCallerConnections: serveUntilMs =>
+        this.callerServer.requestClose(serveUntilMs),
       stopAccepting: () => this.callerServer.stopAccepting(),
       getInFlightCount: () =>
         this.callerServer.getInFlightCount() + this.gate.getCallCount(),
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -194,6 +194,44 @@
     expect(await countHandled(20, 600)).to.equal(0);
   });
 
+  // http.Server doesn't count a connection as idle before its first request. It was
+  // served until the process ended, and its last requests were cut.
+  it('closes unused connections when it stops accepting', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('ok', true)),
+    );
+    const unused = connect({host: HOST, port});
+    const started = connect({host: HOST, port});
+    await Promise.all([once(unused, 'connect'), once(started, 'connect')]);
+    started.write('GET / HTTP/1.1\r\n');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    server.requestClose(Infinity);
+    server.stopAccepting();
+    unused.resume();
+    await once(unused, 'close');
+    started.write('Host: h\r\n\r\n');
+    const [response] = (await once(started, 'data')) as [Buffer];
+    expect(response.toString()).to.match(/^HTTP\/1\.1 200 /);
+    started.destroy();
+  });
+
+  it('tells the entry until when requests can be completed', async () => {
+    const limits: Array<number | undefined> = [];
+    const {server, port} = await listen(({serveUntilMs}) => {
+      limits.push(serveUntilMs);
+      return Promise.resolve(answer('ok', true));
+    });
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await once(socket, 'data');
+    server.requestClose(5_000);
+    socket.write(FINAL_REQUEST);
+    socket.resume();
+    await once(socket, 'close');
+    server.stopAccepting();
+    expect(limits).to.deep.equal([undefined, 5_000]);
+  });
+
   it('responds to a refused request with status 503 and Retry-After', async () => {
     const received = await exchange(
       () =>
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
 import {Server as NetServer} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
@@ -55,12 +56,19 @@
   private inFlightCount = 0;
   private lastRequestAtMs = 0;
   private isClosing = false;
+  /** Set while this process stops. */
+  private serveUntilMs: number | undefined;
+  private readonly sockets = new Set<Socket>();
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer(
       {maxHeaderSize: MAX_PARSED_HEADER_BYTES, noDelay: true},
       (request, response) => void this.serve(request, response),
     );
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     this.server.requestTimeout = 0;
     this.applyLimits();
   }
@@ -88,9 +96,13 @@
     return performance.now() - this.lastRequestAtMs;
   }
 
-  /** Asks callers to close their connections, with `Connection: close`. */
-  requestClose(): void {
+  /**
+   * Asks callers to close their connections, with `Connection: close`. Requests that
+   * may take longer than until the given time are refused from now on.
+   */
+  requestClose(serveUntilMs: number): void {
     this.isClosing = true;
+    this.serveUntilMs = serveUntilMs;
   }
 
   /** Stops accepting connections; those with requests stay open. */
@@ -99,6 +111,10 @@
     // read yet; net.Server.close only stops accepting.
     NetServer.prototype.close.call(this.server);
     this.server.closeIdleConnections();
+    // To http.Server, a connection is not idle before its first request.
+    for (const socket of this.sockets) {
+      if (socket.bytesRead === 0) socket.destroy();
+    }
   }
 
   private async serve(
@@ -196,6 +212,9 @@
       timeoutMs,
       receivedAtMs,
       signal,
+      ...(this.serveUntilMs === undefined
+        ? {}
+        : {serveUntilMs: this.serveUntilMs}),
     };
   }
 
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -57,6 +57,22 @@
     expect(gates.offers.length).to.equal(0);
   });
 
+  // A request that arrived late in a planned stop ran at a target, and was cut when
+  // the process ended.
+  it('planned stop: refuses at once what can not be completed before the end', async () => {
+    const gates = new ScriptedGates(['answer', 'answer']);
+    const entry = await newEntry(gates, false);
+    const request = newRequest();
+    const timeoutMs = request.timeoutMs ?? 0;
+    const tooEarlyMs = request.receivedAtMs + timeoutMs;
+    const late = {...request, serveUntilMs: tooEarlyMs};
+    const outcome = await entry.handle(late);
+    expect(outcome).to.include({kind: 'refused', reason: 'stopping'});
+    expect(gates.offers.length).to.equal(0);
+    const inTime = {...request, serveUntilMs: tooEarlyMs + 1_000};
+    expect((await entry.handle(inTime)).kind).to.equal('answered');
+  });
+
   it('retry storm: makes no offers to gates that have just reported a long wait', async () => {
     clock = FakeTimers.install({toFake: ['performance']});
     const gates = new ScriptedGates(
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -8,6 +8,7 @@
   DEFAULT_OBJECTIVE_MS,
   DEFAULT_TIMEOUT_MS,
   DEFAULT_URGENCY,
+  MIN_RETRY_AFTER_MS,
   RETRY_AFTER_MS,
 } from './constants.js';
 import type {
@@ -81,6 +82,11 @@
     }
     this.options.retryBudget.recordRequest(plan.serviceId, performance.now());
     const routed = new RoutedRequest(this, request, plan);
+    if (!routed.endsBefore(request.serveUntilMs ?? Infinity)) {
+      // The caller can go elsewhere at once; this process is about to end.
+      const outcome = newRefusal('stopping', MIN_RETRY_AFTER_MS);
+      return {outcome, fields: routed.getLogFields()};
+    }
     const outcome = await routed.run();
     return {outcome, fields: routed.getLogFields()};
   }
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -95,6 +95,11 @@
     this.deadlineAtMs = request.receivedAtMs + timeoutMs;
   }
 
+  /** Whether the request is certain to have its response by the given time. */
+  endsBefore(timeMs: number): boolean {
+    return this.deadlineAtMs + REPLY_GRACE_MS <= timeMs;
+  }
+
   async run(): Promise<RelayOutcome> {
     let interrupt: (outcome: RelayOutcome) => void = () => undefined;
     const interrupted = new Promise<RelayOutcome>(resolve => {
