Let the last response of a pipeline close the connection

Callers saw: in a planned stop, requests pipelined behind another one were passed on and got no answer; outside of one, the same behind a response without a length or a rejected request.

Cause: each response of a stopping daemon carried Connection: close, also where requests behind it had been passed on. node:http ends the connection after it.

Change: a connection keeps the order of its requests. The response to the latest one closes it; requests that arrive behind that response are not passed on, which callers take as not read.

Measured: two new tests failed before (one response of two; a request passed on behind a closing response), pass now. Requests that were passed on before a response without a length turned up ahead of them are still cut.

--- /dev/null
+++ b/packages/relay/src/caller_connection.ts
@@ -0,0 +1,38 @@
+/** A caller's connection and the order of the requests on it. */
+
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/**
+ * Decides which response closes the connection. Callers send further requests before
+ * the first response; a response that closes the connection must be the last one, and
+ * callers take requests behind it as not read.
+ */
+export class CallerConnection {
+  private lastResponse: ServerResponse | undefined;
+  private isClosing = false;
+
+  constructor(readonly socket: Socket) {}
+
+  /** Whether no byte has arrived yet. */
+  isUnused(): boolean {
+    return this.socket.bytesRead === 0;
+  }
+
+  /** Admits the next request; `false` if a response before it closes. */
+  admit(response: ServerResponse): boolean {
+    if (this.isClosing) return false;
+    this.lastResponse = response;
+    return true;
+  }
+
+  /** Whether the response is to the latest request that was admitted. */
+  isLast(response: ServerResponse): boolean {
+    return response === this.lastResponse;
+  }
+
+  /** Admits no further requests, as a response announces the end. */
+  announceClose(): void {
+    this.isClosing = true;
+  }
+}
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -215,6 +215,53 @@
     started.destroy();
   });
 
+  // The first response carried Connection: close, though the second request had been
+  // passed on; the connection ended before its response.
+  it('planned stop: responds to all pipelined requests that were passed on', async () => {
+    const handled: string[] = [];
+    const {server, port} = await listen(async ({path}) => {
+      handled.push(path);
+      if (path === '/1') server.requestClose(Infinity);
+      await new Promise(resolve =>
+        setTimeout(resolve, path === '/2' ? 60 : 30),
+      );
+      return answer(path, true);
+    });
+    const socket = connect({host: HOST, port});
+    let received = '';
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    const newHead = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+    socket.write(newHead('/1') + newHead('/2'));
+    // Sent behind the response that closes the connection.
+    setTimeout(() => socket.write(newHead('/3')), 45);
+    setTimeout(() => socket.write(newHead('/4')), 75);
+    await once(socket, 'close');
+    server.stopAccepting();
+    expect(received.match(/response-id: \/\d/gi)).to.have.length(
+      handled.length,
+    );
+    expect(handled).to.include('/2');
+    expect(received.match(/connection: close/gi)).to.have.length(1);
+  });
+
+  it('passes on no request behind a response that closes the connection', async () => {
+    const handled: string[] = [];
+    const {server, port} = await listen(({path}) => {
+      handled.push(path);
+      return Promise.resolve(answer('x'.repeat(8_000_000), false));
+    });
+    const socket = connect({host: HOST, port});
+    socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 30));
+    // The first response is still being written.
+    socket.write('GET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 30));
+    socket.resume();
+    await once(socket, 'close');
+    server.stopAccepting();
+    expect(handled).to.deep.equal(['/1']);
+  });
+
   it('tells the entry until when requests can be completed', async () => {
     const limits: Array<number | undefined> = [];
     const {server, port} = await listen(({serveUntilMs}) => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -8,6 +8,7 @@
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
 import {BodyBuffer} from './body_buffer.js';
+import {CallerConnection} from './caller_connection.js';
 import type {HeaderCodec} from './header_codec.js';
 import {HOP_BY_HOP_HEADERS} from './header_codec.js';
 import type {RelayEntry} from './entry.js';
@@ -50,6 +51,16 @@
   | {readonly kind: 'too-large'}
   | {readonly kind: 'incomplete'};
 
+/** A request that is being served. */
+interface CallerExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly connection: CallerConnection;
+  readonly receivedAtMs: number;
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
+}
+
 /** Accepts requests from callers and passes them to the entry. */
 export class CallerServer {
   private readonly server: Server;
@@ -58,7 +69,7 @@
   private isClosing = false;
   /** Set while this process stops. */
   private serveUntilMs: number | undefined;
-  private readonly sockets = new Set<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer(
@@ -66,8 +77,8 @@
       (request, response) => void this.serve(request, response),
     );
     this.server.on('connection', socket => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      this.connections.set(socket, new CallerConnection(socket));
+      socket.once('close', () => this.connections.delete(socket));
     });
     this.server.requestTimeout = 0;
     this.applyLimits();
@@ -112,8 +123,8 @@
     NetServer.prototype.close.call(this.server);
     this.server.closeIdleConnections();
     // To http.Server, a connection is not idle before its first request.
-    for (const socket of this.sockets) {
-      if (socket.bytesRead === 0) socket.destroy();
+    for (const connection of this.connections.values()) {
+      if (connection.isUnused()) connection.socket.destroy();
     }
   }
 
@@ -121,6 +132,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const {socket} = request;
+    const connection = this.connections.get(socket);
+    if (connection?.admit(response) !== true) {
+      this.options.observer.count('refused', 'closed');
+      return;
+    }
     const receivedAtMs = performance.now();
     this.inFlightCount += 1;
     this.lastRequestAtMs = receivedAtMs;
@@ -128,31 +145,27 @@
     const handleClose = () => {
       if (!response.writableFinished) controller.abort();
     };
-    const {socket} = request;
     socket.setMaxListeners(0);
     socket.once('close', handleClose);
     // Node closes the connection of a caller that sends no more.
     socket.once('end', handleClose);
-    await this.respond(request, response, receivedAtMs, controller.signal);
+    const {signal} = controller;
+    await this.respond({request, response, connection, receivedAtMs, signal});
     socket.off('close', handleClose);
     socket.off('end', handleClose);
     this.inFlightCount -= 1;
   }
 
-  private async respond(
-    request: IncomingMessage,
-    response: ServerResponse,
-    receivedAtMs: number,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async respond(exchange: CallerExchange): Promise<void> {
+    const {request, response, receivedAtMs, signal} = exchange;
     const limits = this.options.getLimits();
     if (countHeaderBytes(request) > limits.maxHeaderBytes) {
-      this.reject(request, response, 431);
+      this.reject(exchange, 431);
       return;
     }
     const result = await readBody(request, limits.maxBodyBytes);
     if (result.kind === 'too-large') {
-      this.reject(request, response, 413);
+      this.reject(exchange, 413);
       return;
     }
     if (result.kind === 'incomplete') {
@@ -172,7 +185,7 @@
     const outcome = await this.options.entry.handle(caller);
     this.recordMetrics(caller, outcome);
     if (signal.aborted) response.destroy();
-    else this.writeOutcome(response, caller, outcome);
+    else this.writeOutcome(exchange, caller, outcome);
   }
 
   // A late event loop has read the request, but perhaps not yet the end of its
@@ -219,17 +232,21 @@
   }
 
   private writeOutcome(
-    response: ServerResponse,
+    exchange: CallerExchange,
     caller: CallerRequest,
     outcome: RelayOutcome,
   ): void {
-    if (this.isClosing && outcome.kind !== 'answered') {
-      response.setHeader('connection', 'close');
+    const {response, connection} = exchange;
+    const isUnframed = outcome.kind === 'answered' && !outcome.isFramed;
+    const isLast = this.isClosing && connection.isLast(response);
+    const closes = isUnframed || isLast;
+    if (closes) connection.announceClose();
+    if (outcome.kind === 'answered') {
+      this.writeResponse(response, caller, outcome, closes);
+      return;
     }
+    if (closes) response.setHeader('Connection', 'close');
     switch (outcome.kind) {
-      case 'answered':
-        this.writeResponse(response, caller, outcome);
-        return;
       case 'refused': {
         const isUnknownRoute = outcome.reason === 'no-route';
         response.statusCode = isUnknownRoute ? 404 : 503;
@@ -253,26 +270,23 @@
     response: ServerResponse,
     caller: CallerRequest,
     outcome: AnsweredOutcome,
+    closes: boolean,
   ): void {
     const {statusCode, body} = outcome;
     const headers = [...outcome.headers];
     if (!outcome.isFramed) {
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
-      headers.push('Connection', 'close');
     } else if (caller.method !== 'HEAD') {
       headers.push('Content-Length', String(body.byteLength));
     }
-    if (this.isClosing && outcome.isFramed) headers.push('Connection', 'close');
+    if (closes) headers.push('Connection', 'close');
     response.writeHead(statusCode, headers);
     response.end(body);
   }
 
-  private reject(
-    request: IncomingMessage,
-    response: ServerResponse,
-    statusCode: number,
-  ): void {
+  private reject(exchange: CallerExchange, statusCode: number): void {
+    const {request, response, connection} = exchange;
     const {requestId} = this.options.headerCodec.parseCallerHeaders(
       request.headers,
     );
@@ -280,6 +294,7 @@
       requestId,
       statusCode,
     });
+    connection.announceClose();
     response.writeHead(statusCode, {connection: 'close'});
     response.end();
   }
