Keep requests in flight until their responses are written

Cause: a request left the count of requests in flight when its response was handed to response.end. Frames in the buffers of links to other instances were not counted.

Change: connections keep the responses that are not handed to the operating system yet; they are the one count of requests in flight of callers. Unsent frames count as well, and links are closed with a handshake before the process ends. What is left at the end of the grace period is reset.

A client of Node.js that reads slowly reports a reset as a clean end; one of Python reports the reset.

--- a/packages/daemon/src/mesh/graceful_shutdown.test.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.test.ts
@@ -32,6 +32,9 @@
     this.record('stop-accepting');
   }
 
+  abortInFlight(): void {
+    this.record('abort');
+  }
   getInFlightCount(): number {
     return this.inFlightRequests;
   }
@@ -117,8 +120,10 @@
     });
     await clock.tickAsync(5_000);
     expect(isGraceful).to.equal(undefined);
+    expect(hooks.steps.has('abort')).to.equal(false);
     await clock.tickAsync(999);
     expect(isGraceful).to.equal(false);
+    expect(hooks.steps.has('abort')).to.equal(true);
   });
 
   it('ends shortly after the last request completes', async () => {
--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -19,6 +19,8 @@
   stopAccepting(): void;
   /** Requests in flight, both from callers and at the target. */
   getInFlightCount(): number;
+  /** Ends the connections of requests in flight, so that they look cut. */
+  abortInFlight(): void;
   /** Time since the last request from a caller. */
   getCallerIdleMs(): number;
 }
@@ -63,7 +65,9 @@
   while (hooks.getInFlightCount() > 0 && getElapsedMs() < deadlineMs) {
     await sleep(POLL_INTERVAL_MS);
   }
-  return hooks.getInFlightCount() === 0;
+  const isGraceful = hooks.getInFlightCount() === 0;
+  if (!isGraceful) hooks.abortInFlight();
+  return isGraceful;
 }
 
 function areCallersIdle(hooks: ShutdownHooks): boolean {
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -48,6 +48,8 @@
 const CALLER_LIMITS_KEY: RecordKey = makeRecordKey('caller-limits', 'default');
 /** Delay of the periodic task from which on it is logged. */
 const LOGGED_LOOP_DELAY_MS = 150;
+/** Longest wait for peers to confirm that a link is closed. */
+const LINK_CLOSE_TIMEOUT_MS = 350;
 /** Time after start for the target to announce itself before it is queried. */
 const DISCOVERY_DELAY_MS = 250;
 
@@ -156,7 +158,13 @@
       ...this.describeLoad(),
     });
     clearInterval(this.sweepTimer);
-    await this.coordinator.stop();
+    // Links are closed before the process ends: the operating system would reset
+    // them, and drop the responses on their way, if frames had arrived unread.
+    const linksClosed = Promise.race([
+      this.relayTransport.close(),
+      new Promise(resolve => setTimeout(resolve, LINK_CLOSE_TIMEOUT_MS)),
+    ]);
+    await Promise.all([this.coordinator.stop(), linksClosed]);
     return isGraceful;
   }
 
@@ -167,12 +175,22 @@
       drainCallerConnections: serveUntilMs =>
         this.callerServer.requestClose(serveUntilMs),
       stopAccepting: () => this.callerServer.stopAccepting(),
-      getInFlightCount: () =>
-        this.callerServer.getInFlightCount() + this.gate.getCallCount(),
+      getInFlightCount: () => this.countInFlight(),
+      abortInFlight: () => this.callerServer.abortInFlight(),
       getCallerIdleMs: () => this.callerServer.getIdleMs(),
     };
   }
 
+  // Everything that is owed to callers of this and of other instances.
+  private countInFlight(): number {
+    const hasUnsentFrames = this.relayTransport.getBufferedBytes() > 0;
+    return (
+      this.callerServer.getInFlightCount() +
+      this.gate.getCallCount() +
+      Number(hasUnsentFrames)
+    );
+  }
+
   private canRoute(): boolean {
     return this.coordinator.isReady() && this.appliedVersion > 0;
   }
--- a/packages/peer-protocol/src/relay_transport.ts
+++ b/packages/peer-protocol/src/relay_transport.ts
@@ -49,15 +49,18 @@
 export interface RelayTransport {
   dial(address: GateAddress, events: RelayLinkEvents): RelayLink;
   listen(address: GateAddress, events: RelayLinkEvents): Promise<void>;
+  /** Bytes of sent frames that have not been handed to the operating system. */
+  getBufferedBytes(): number;
+  /** Closes all links; frames sent before are delivered to peers that respond. */
   close(): Promise<void>;
 }
 
 /** WebSocket implementation of {@link RelayTransport}. */
 export class WebSocketRelayTransport implements RelayTransport {
-  private readonly endpoint = new WebSocketEndpoint<RelayLink, RelayLinkEvents>(
-    LIMITS,
-    (socket, events) => new WebSocketRelayLink(socket, events),
-  );
+  private readonly endpoint = new WebSocketEndpoint<
+    WebSocketRelayLink,
+    RelayLinkEvents
+  >(LIMITS, (socket, events) => new WebSocketRelayLink(socket, events));
 
   dial(address: GateAddress, events: RelayLinkEvents): RelayLink {
     return this.endpoint.dial(address, events);
@@ -67,6 +70,12 @@
     return this.endpoint.listen(address, events);
   }
 
+  getBufferedBytes(): number {
+    let bytes = 0;
+    for (const link of this.endpoint.getLinks()) bytes += link.bufferedBytes;
+    return bytes;
+  }
+
   close(): Promise<void> {
     return this.endpoint.close();
   }
@@ -84,6 +93,10 @@
     socket.on('close', () => events.onClose(this));
   }
 
+  get bufferedBytes(): number {
+    return this.socket.bufferedAmount;
+  }
+
   send(frame: RelayFrame): boolean {
     if (this.socket.readyState !== WebSocket.OPEN) return false;
     if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
--- a/packages/peer-protocol/src/web_socket_endpoint.ts
+++ b/packages/peer-protocol/src/web_socket_endpoint.ts
@@ -39,6 +39,11 @@
     return this.track(socket, events);
   }
 
+  /** Returns the links that are open or being opened. */
+  getLinks(): Iterable<Link> {
+    return this.links;
+  }
+
   /** Starts accepting links; resolves once the address is bound. */
   async listen(address: string, events: Events): Promise<void> {
     const server = new WebSocketServer({
--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -9,6 +9,7 @@
  * callers take requests behind it as not read.
  */
 export class CallerConnection {
+  private readonly unwritten = new Set<ServerResponse>();
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
 
@@ -23,9 +24,16 @@
   admit(response: ServerResponse): boolean {
     if (this.isClosing) return false;
     this.lastResponse = response;
+    this.unwritten.add(response);
+    response.once('close', () => this.unwritten.delete(response));
     return true;
   }
 
+  /** Requests whose response has not been handed to the operating system yet. */
+  countInFlight(): number {
+    return this.unwritten.size;
+  }
+
   /** Whether the response is to the latest request that was admitted. */
   isLast(response: ServerResponse): boolean {
     return response === this.lastResponse;
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
-import {connect, createServer} from 'node:net';
+import {Socket, connect, createServer} from 'node:net';
 import {expect} from 'chai';
 import type {CallerLimits} from './caller_server.js';
 import {CallerServer, DEFAULT_CALLER_LIMITS} from './caller_server.js';
@@ -11,6 +11,8 @@
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
 
 const HOST = '127.0.0.1';
+/** More than a connection buffers between two processes. */
+const LONG_BODY_BYTES = 32 * 1024 * 1024;
 /** Memory of the smallest instances, less that of a process at rest. */
 const MAX_ADDED_BYTES = 180 * 1024 * 1024;
 
@@ -262,6 +264,60 @@
     expect(handled).to.deep.equal(['/1']);
   });
 
+  // The process ended while responses were still being written; those without a
+  // length looked complete.
+  it('counts a request as in flight until its response is written', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('x'.repeat(LONG_BODY_BYTES), false)),
+    );
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(server.getInFlightCount()).to.equal(1);
+    let receivedBytes = 0;
+    socket.on('data', (chunk: Buffer) => (receivedBytes += chunk.byteLength));
+    await once(socket, 'end');
+    expect(receivedBytes).to.be.above(LONG_BODY_BYTES);
+    expect(server.getInFlightCount()).to.equal(0);
+    server.stopAccepting();
+  });
+
+  it('resets what is not written at the end, so that it looks cut', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('x'.repeat(LONG_BODY_BYTES), false)),
+    );
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    server.stopAccepting();
+    // A client of this runtime that reads slowly reports a reset as a clean end.
+    const original = Reflect.get(Socket.prototype, 'resetAndDestroy');
+    let resetCount = 0;
+    Socket.prototype.resetAndDestroy = function countReset(this: Socket) {
+      resetCount += 1;
+      return original.call(this);
+    };
+    server.abortInFlight();
+    Socket.prototype.resetAndDestroy = original;
+    expect(resetCount).to.equal(1);
+    socket.resume();
+    await once(socket, 'close');
+    expect(server.getInFlightCount()).to.equal(0);
+  });
+
+  it('drops the requests of callers that have left', async () => {
+    const {server, port} = await listen(() => new Promise(() => undefined));
+    const socket = connect({host: HOST, port});
+    const head = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+    socket.write(head + head);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(server.getInFlightCount()).to.equal(2);
+    socket.destroy();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(server.getInFlightCount()).to.equal(0);
+    server.stopAccepting();
+  });
+
   it('tells the entry until when requests can be completed', async () => {
     const limits: Array<number | undefined> = [];
     const {server, port} = await listen(({serveUntilMs}) => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -64,7 +64,6 @@
 /** Accepts requests from callers and passes them to the entry. */
 export class CallerServer {
   private readonly server: Server;
-  private inFlightCount = 0;
   private lastRequestAtMs = 0;
   private isClosing = false;
   /** Set while this process stops. */
@@ -97,9 +96,13 @@
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** Returns the number of requests in flight. */
+  /** Returns the number of requests whose response is not written yet. */
   getInFlightCount(): number {
-    return this.inFlightCount;
+    let count = 0;
+    for (const connection of this.connections.values()) {
+      count += connection.countInFlight();
+    }
+    return count;
   }
 
   /** Returns the time since the last request arrived. */
@@ -116,6 +119,17 @@
     this.serveUntilMs = serveUntilMs;
   }
 
+  /**
+   * Resets the connections with requests in flight. A connection that the end of the
+   * process closes could mark a part of a response as complete.
+   */
+  abortInFlight(): void {
+    for (const connection of this.connections.values()) {
+      if (connection.countInFlight() === 0) continue;
+      connection.socket.resetAndDestroy();
+    }
+  }
+
   /** Stops accepting connections; those with requests stay open. */
   stopAccepting(): void {
     // http.Server.close would also close connections whose request has not been
@@ -139,7 +153,6 @@
       return;
     }
     const receivedAtMs = performance.now();
-    this.inFlightCount += 1;
     this.lastRequestAtMs = receivedAtMs;
     const controller = new AbortController();
     const handleClose = () => {
@@ -153,7 +166,6 @@
     await this.respond({request, response, connection, receivedAtMs, signal});
     socket.off('close', handleClose);
     socket.off('end', handleClose);
-    this.inFlightCount -= 1;
   }
 
   private async respond(exchange: CallerExchange): Promise<void> {
