Look whether a new caller has left before routing

Cause: the runtime accepts one connection a turn of the event loop. In a storm of retries, each on a new connection, requests wait unread for most of a second though no turn is late, and the check for closed connections was made only after late turns.

Change: before the first request of a connection is routed, the sockets are polled once more.

Measured: caller_server.test "routes no first request of a connection whose caller has left" failed before (20 of 20 routed).

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -10,6 +10,7 @@
  */
 export class CallerConnection {
   private readonly unwritten = new Set<ServerResponse>();
+  private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
 
@@ -23,6 +24,7 @@
   /** Admits the next request; `false` if a response before it closes. */
   admit(response: ServerResponse): boolean {
     if (this.isClosing) return false;
+    this.firstResponse ??= response;
     this.lastResponse = response;
     this.unwritten.add(response);
     response.once('close', () => this.unwritten.delete(response));
@@ -34,6 +36,11 @@
     return this.unwritten.size;
   }
 
+  /** Whether the response is to the first request of the connection. */
+  isFirst(response: ServerResponse): boolean {
+    return response === this.firstResponse;
+  }
+
   /** Whether the response is to the latest request that was admitted. */
   isLast(response: ServerResponse): boolean {
     return response === this.lastResponse;
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -335,6 +335,12 @@
     expect(limits).to.deep.equal([undefined, 5_000]);
   });
 
+  // The runtime accepts one connection a turn. In a storm of new connections, requests
+  // were read long after their callers had left, though no turn was late.
+  it('routes no first request of a connection whose caller has left', async () => {
+    expect(await countHandled(20, 0)).to.equal(0);
+  });
+
   it('responds to a refused request with status 503 and Retry-After', async () => {
     const received = await exchange(
       () =>
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -190,7 +190,7 @@
       receivedAtMs,
       signal,
     );
-    if (await this.hasCallerLeft(caller)) {
+    if (await this.hasCallerLeft(exchange, caller)) {
       response.destroy();
       return;
     }
@@ -201,10 +201,15 @@
   }
 
   // A late event loop has read the request, but perhaps not yet the end of its
-  // connection.
-  private async hasCallerLeft(caller: CallerRequest): Promise<boolean> {
+  // connection. The runtime accepts one connection a turn, so that new ones can wait
+  // for long although no turn is late.
+  private async hasCallerLeft(
+    {connection, response}: CallerExchange,
+    caller: CallerRequest,
+  ): Promise<boolean> {
     const loopDelayMs = this.options.getLoopDelayMs();
-    if (loopDelayMs < LATE_LOOP_MS) return false;
+    const isLate = loopDelayMs >= LATE_LOOP_MS;
+    if (!isLate && !connection.isFirst(response)) return false;
     await pollSockets();
     if (!caller.signal.aborted) return false;
     const {observer} = this.options;
