Give each request its end, and name when a target is disproved

No change of behaviour: serveUntilMs is Infinity instead of absent, and the condition under which another announcement holds is a method of its own.

--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -319,7 +319,7 @@
   });
 
   it('tells the entry until when requests can be completed', async () => {
-    const limits: Array<number | undefined> = [];
+    const limits: number[] = [];
     const {server, port} = await listen(({serveUntilMs}) => {
       limits.push(serveUntilMs);
       return Promise.resolve(answer('ok', true));
@@ -332,7 +332,7 @@
     socket.resume();
     await once(socket, 'close');
     server.stopAccepting();
-    expect(limits).to.deep.equal([undefined, 5_000]);
+    expect(limits).to.deep.equal([Infinity, 5_000]);
   });
 
   // The runtime accepts one connection a turn. In a storm of new connections, requests
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -66,8 +66,8 @@
   private readonly server: Server;
   private lastRequestAtMs = 0;
   private isClosing = false;
-  /** Set while this process stops. */
-  private serveUntilMs: number | undefined;
+  /** Time by which responses must be sent; finite while this process stops. */
+  private serveUntilMs = Infinity;
   private readonly connections = new Map<Socket, CallerConnection>();
 
   constructor(private readonly options: CallerServerOptions) {
@@ -242,9 +242,7 @@
       timeoutMs,
       receivedAtMs,
       signal,
-      ...(this.serveUntilMs === undefined
-        ? {}
-        : {serveUntilMs: this.serveUntilMs}),
+      serveUntilMs: this.serveUntilMs,
     };
   }
 
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -82,7 +82,7 @@
     }
     this.options.retryBudget.recordRequest(plan.serviceId, performance.now());
     const routed = new RoutedRequest(this, request, plan);
-    if (!routed.endsBefore(request.serveUntilMs ?? Infinity)) {
+    if (!routed.endsBefore(request.serveUntilMs)) {
       // The caller can go elsewhere at once; this process is about to end.
       const outcome = newRefusal('stopping', MIN_RETRY_AFTER_MS);
       return {outcome, fields: routed.getLogFields()};
--- a/packages/relay/src/entry_types.ts
+++ b/packages/relay/src/entry_types.ts
@@ -22,8 +22,8 @@
   readonly receivedAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** Time by which the response must be sent, while this process stops. */
-  readonly serveUntilMs?: number;
+  /** Time by which the response must be sent; `Infinity` unless the process stops. */
+  readonly serveUntilMs: number;
 }
 
 /** Dependencies of a {@link RelayEntry}. */
--- a/packages/relay/src/local_target.ts
+++ b/packages/relay/src/local_target.ts
@@ -82,19 +82,16 @@
     }
     if (this.hasDeparted(announcement)) return 'has-left';
     const {session} = this;
-    const {isKnownService} = this.options;
-    const isKnown = isKnownService(announcement.serviceId);
+    const isKnown = this.options.isKnownService(announcement.serviceId);
     if (!session) {
       return isKnown ? this.replace(announcement) : 'unknown-service';
     }
-    const current = session.getAnnouncement();
-    const order = compareAnnouncements(current, announcement);
+    const order = compareAnnouncements(session.getAnnouncement(), announcement);
     // A target may still leave after its service was removed.
     if (!isKnown && order === 'newer-start') return 'unknown-service';
-    const isDisproved =
-      !isKnownService(current.serviceId) ||
-      (session.isMisdirected() && current.targetId !== announcement.targetId);
-    if (isKnown && isDisproved) return this.replace(announcement);
+    if (isKnown && this.isDisproved(session, announcement)) {
+      return this.replace(announcement);
+    }
     switch (order) {
       case 'newer-start':
         return this.replace(announcement);
@@ -105,6 +102,17 @@
     }
   }
 
+  // Whether the announced target can't be the one at the address, so that another
+  // announcement holds whatever its start time.
+  private isDisproved(
+    session: RelayTargetSession,
+    next: TargetAnnouncement,
+  ): boolean {
+    const {serviceId, targetId} = session.getAnnouncement();
+    if (!this.options.isKnownService(serviceId)) return true;
+    return session.isMisdirected() && targetId !== next.targetId;
+  }
+
   private replace(announcement: TargetAnnouncement): AnnouncementOutcome {
     this.endSession();
     const {newClient, onTargetChange} = this.options;
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -303,5 +303,6 @@
     timeoutMs: 1_000,
     receivedAtMs: performance.now(),
     signal: new AbortController().signal,
+    serveUntilMs: Infinity,
   };
 }
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -180,6 +180,7 @@
       timeoutMs,
       receivedAtMs: performance.now(),
       signal: new AbortController().signal,
+      serveUntilMs: Infinity,
     };
     const outcome = await instance.entry.handle(request);
     const gate = this.answeringGates.get(requestId) ?? '';
