Let the last response close a draining connection of the proxy

Callers would see: while a daemon of our own interface drains, pipelined requests behind another one run and get no answer.

Cause: the class of the fault in the caller server: Connection: close was set on each response as its request arrived.

Change: the response to the latest request of a connection closes it; requests behind a closing response that is on its way are not run.

--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -7,7 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {Server as NetServer} from 'node:net';
 import {waitUntil} from './wait_until.js';
 
@@ -37,6 +37,7 @@
   private isDraining = false;
   private isRefusing = false;
   private lastRequestAtMs = 0;
+  private readonly latestResponses = new WeakMap<Socket, ServerResponse>();
 
   constructor(
     private readonly handler: RequestHandler,
@@ -84,6 +85,19 @@
     return isDrained;
   }
 
+  // While the server drains, the response to the latest request of a connection
+  // closes it. Clients take requests behind a closing response as not read.
+  private admit(socket: Socket, response: ServerResponse): boolean {
+    const previous = this.latestResponses.get(socket);
+    if (previous?.getHeader('connection') === 'close') {
+      if (previous.headersSent) return false;
+      previous.removeHeader('connection');
+    }
+    this.latestResponses.set(socket, response);
+    if (this.isDraining) response.setHeader('connection', 'close');
+    return true;
+  }
+
   private isQuietPeriodOver(): boolean {
     return performance.now() - this.lastRequestAtMs >= QUIET_PERIOD_MS;
   }
@@ -93,7 +107,7 @@
     response: ServerResponse,
   ): Promise<void> {
     this.lastRequestAtMs = performance.now();
-    if (this.isDraining) response.setHeader('connection', 'close');
+    if (!this.admit(request.socket, response)) return;
     if (this.isRefusing) {
       await this.refusalHandler(request, response);
       return;
