Close only idle connections when a stop begins to refuse

Cause: closeIdleConnections of http.Server counts a connection as idle once its response has been passed to end(), and destroyed it while the response was being written.

Change: a connection is idle if all its responses are written and no byte has arrived since. One condition for kept and unused connections.

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -10,15 +10,19 @@
  */
 export class CallerConnection {
   private readonly unwritten = new Set<ServerResponse>();
+  /** Bytes that had been read when the latest response was complete. */
+  private readBytes = 0;
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
 
   constructor(readonly socket: Socket) {}
 
-  /** Whether no byte has arrived yet. */
-  isUnused(): boolean {
-    return this.socket.bytesRead === 0;
+  /** Whether all requests have their responses, and no part of another has arrived. */
+  isIdle(): boolean {
+    return (
+      this.unwritten.size === 0 && this.socket.bytesRead === this.readBytes
+    );
   }
 
   /** Admits the next request; `false` if a response before it closes. */
@@ -27,7 +31,10 @@
     this.firstResponse ??= response;
     this.lastResponse = response;
     this.unwritten.add(response);
-    response.once('close', () => this.unwritten.delete(response));
+    response.once('close', () => {
+      this.unwritten.delete(response);
+      this.readBytes = this.socket.bytesRead;
+    });
     return true;
   }
 
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -282,6 +282,35 @@
     server.stopAccepting();
   });
 
+  // To http.Server, a connection is idle once its response has been passed to end(),
+  // and what was not written yet was lost when the idle connections were closed.
+  it('stops accepting without cutting responses that are being written', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('x'.repeat(LONG_BODY_BYTES), false)),
+    );
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    server.requestClose(Infinity);
+    server.stopAccepting();
+    let receivedBytes = 0;
+    socket.on('data', (chunk: Buffer) => (receivedBytes += chunk.byteLength));
+    await once(socket, 'end');
+    expect(receivedBytes).to.be.above(LONG_BODY_BYTES);
+  });
+
+  it('closes a kept connection without a request when it stops accepting', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('ok', true)),
+    );
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await once(socket, 'data');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    server.stopAccepting();
+    await once(socket, 'close');
+  });
+
   it('resets what is not written at the end, so that it looks cut', async () => {
     const {server, port} = await listen(() =>
       Promise.resolve(answer('x'.repeat(LONG_BODY_BYTES), false)),
@@ -302,6 +331,7 @@
     expect(resetCount).to.equal(1);
     socket.resume();
     await once(socket, 'close');
+    await new Promise(resolve => setTimeout(resolve, 50));
     expect(server.getInFlightCount()).to.equal(0);
   });
 
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -135,10 +135,10 @@
     // http.Server.close would also close connections whose request has not been
     // read yet; net.Server.close only stops accepting.
     NetServer.prototype.close.call(this.server);
-    this.server.closeIdleConnections();
-    // To http.Server, a connection is not idle before its first request.
+    // To http.Server, a connection is not idle before its first request, and idle while
+    // its last response is being written.
     for (const connection of this.connections.values()) {
-      if (connection.isUnused()) connection.socket.destroy();
+      if (connection.isIdle()) connection.socket.destroy();
     }
   }
 
