--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -7,10 +7,9 @@
 import {Server as NetServer} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
-import {BodyBuffer} from './body_buffer.js';
 import {CallerConnection} from './caller_connection.js';
+import {countHeaderBytes, filterHeaders, readBody} from './caller_messages.js';
 import type {HeaderCodec} from './header_codec.js';
-import {HOP_BY_HOP_HEADERS} from './header_codec.js';
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
@@ -41,16 +40,10 @@
 const COMPONENT = 'entry';
 /** Limit of the HTTP parser; the configured limit is checked per request. */
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
-const EMPTY_BODY = Buffer.alloc(0);
 /** Delay of the event loop from which on callers may have left unnoticed. */
 const LATE_LOOP_MS = 100;
 const MS_PER_SECOND = 1_000;
 
-type BodyResult =
-  | {readonly kind: 'body'; readonly body: Uint8Array}
-  | {readonly kind: 'too-large'}
-  | {readonly kind: 'incomplete'};
-
 /** A request that is being served. */
 interface CallerExchange {
   readonly request: IncomingMessage;
@@ -327,56 +320,3 @@
   await setImmediate();
   await setImmediate();
 }
-
-function countHeaderBytes(request: IncomingMessage): number {
-  let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
-  for (const text of request.rawHeaders) bytes += text.length + 2;
-  return bytes;
-}
-
-function filterHeaders(
-  request: IncomingMessage,
-  stripped: ReadonlySet<string>,
-): string[] {
-  const {rawHeaders} = request;
-  const connectionOptions = parseConnectionOptions(request.headers.connection);
-  const forwarded: string[] = [];
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index] ?? '';
-    const key = name.toLowerCase();
-    if (HOP_BY_HOP_HEADERS.has(key) || stripped.has(key)) continue;
-    if (connectionOptions.has(key)) continue;
-    forwarded.push(name, rawHeaders[index + 1] ?? '');
-  }
-  return forwarded;
-}
-
-function parseConnectionOptions(
-  value: string | undefined,
-): ReadonlySet<string> {
-  const names = (value ?? '').split(',');
-  return new Set(names.map(name => name.trim().toLowerCase()));
-}
-
-async function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<BodyResult> {
-  const {headers} = request;
-  const length = Number(headers['content-length'] ?? 0);
-  if (length > maxBytes) return {kind: 'too-large'};
-  const hasBody = length > 0 || headers['transfer-encoding'] !== undefined;
-  if (!hasBody) return {kind: 'body', body: EMPTY_BODY};
-  const body = new BodyBuffer();
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      body.append(chunk);
-      if (body.getSize() > maxBytes) return {kind: 'too-large'};
-    }
-  } catch {
-    // The caller disconnected mid-body; nothing has been forwarded yet.
-    return {kind: 'incomplete'};
-  }
-  if (!request.complete) return {kind: 'incomplete'};
-  return {kind: 'body', body: body.take()};
-}
