Log the requests that a planned stop cuts, and its steps

Each request whose connection a stop resets now has a line `cut` with its id, age, place on its connection, the age of the connection and the bytes written. No decision changes; a request found in flight at the very end is now reset instead of closed, and the exit status says so.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -165,22 +165,38 @@
       new Promise(resolve => setTimeout(resolve, LINK_CLOSE_TIMEOUT_MS)),
     ]);
     await Promise.all([this.coordinator.stop(), linksClosed]);
-    return isGraceful;
+    const cutCount = this.callerServer.abortInFlight();
+    log.write(cutCount === 0 ? 'info' : 'warn', COMPONENT, 'ended', {cutCount});
+    return isGraceful && cutCount === 0;
   }
 
   private getShutdownHooks(): ShutdownHooks {
     return {
       beginDrain: () => this.coordinator.beginDrain(),
-      closeGate: () => this.gate.stopAdmission(),
+      closeGate: () => {
+        this.logStopStep('gate-closed');
+        this.gate.stopAdmission();
+      },
       drainCallerConnections: serveUntilMs =>
         this.callerServer.requestClose(serveUntilMs),
-      stopAccepting: () => this.callerServer.stopAccepting(),
+      stopAccepting: () => {
+        this.logStopStep('accept-ended');
+        this.callerServer.stopAccepting();
+      },
       getInFlightCount: () => this.countInFlight(),
-      abortInFlight: () => this.callerServer.abortInFlight(),
+      abortInFlight: () => void this.callerServer.abortInFlight(),
       getCallerIdleMs: () => this.callerServer.getIdleMs(),
     };
   }
 
+  private logStopStep(step: string): void {
+    this.options.log.write('info', COMPONENT, step, {
+      ...this.describeLoad(),
+      ...this.callerServer.describeConnections(),
+      loopDelayMs: Math.round(this.loopDelay.getDelayMs()),
+    });
+  }
+
   // Everything that is owed to callers of this and of other instances.
   private countInFlight(): number {
     const hasUnsentFrames = this.relayTransport.getBufferedBytes() > 0;
--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -3,15 +3,38 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** A request without its complete response, for the log. */
+export interface UnansweredRequest {
+  readonly requestId: string;
+  /** Time since its head was read. */
+  readonly ageMs: number;
+  readonly connectionAgeMs: number;
+  /** Position among the requests of the connection, from 1. */
+  readonly position: number;
+  readonly hasAnswer: boolean;
+  /** Bytes written since the last complete response of the connection. */
+  readonly writtenBytes: number;
+}
+
+interface AdmittedRequest {
+  readonly requestId: string;
+  readonly admittedAtMs: number;
+  readonly position: number;
+}
+
 /**
  * Decides which response closes the connection. Callers send further requests before
  * the first response; a response that closes the connection must be the last one, and
  * callers take requests behind it as not read.
  */
 export class CallerConnection {
-  private readonly unwritten = new Set<ServerResponse>();
+  private readonly openedAtMs = performance.now();
+  private readonly unwritten = new Map<ServerResponse, AdmittedRequest>();
+  private requestCount = 0;
   /** Bytes that had been read when the latest response was complete. */
   private readBytes = 0;
+  /** Bytes that had been written when the latest response was complete. */
+  private writtenBytes = 0;
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
@@ -26,14 +49,20 @@
   }
 
   /** Admits the next request; `false` if a response before it closes. */
-  admit(response: ServerResponse): boolean {
+  admit(response: ServerResponse, requestId: string): boolean {
     if (this.isClosing) return false;
     this.firstResponse ??= response;
     this.lastResponse = response;
-    this.unwritten.add(response);
+    this.requestCount += 1;
+    this.unwritten.set(response, {
+      requestId,
+      admittedAtMs: performance.now(),
+      position: this.requestCount,
+    });
     response.once('close', () => {
       this.unwritten.delete(response);
       this.readBytes = this.socket.bytesRead;
+      this.writtenBytes = this.socket.bytesWritten;
     });
     return true;
   }
@@ -43,6 +72,19 @@
     return this.unwritten.size;
   }
 
+  /** Describes the requests in flight. */
+  describeInFlight(): UnansweredRequest[] {
+    const nowMs = performance.now();
+    return [...this.unwritten].map(([response, request]) => ({
+      requestId: request.requestId,
+      ageMs: Math.round(nowMs - request.admittedAtMs),
+      connectionAgeMs: Math.round(nowMs - this.openedAtMs),
+      position: request.position,
+      hasAnswer: response.headersSent,
+      writtenBytes: this.socket.bytesWritten - this.writtenBytes,
+    }));
+  }
+
   /** Whether the response is to the first request of the connection. */
   isFirst(response: ServerResponse): boolean {
     return response === this.firstResponse;
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -1,49 +1,17 @@
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
-import {Socket, connect, createServer} from 'node:net';
+import {Socket, connect} from 'node:net';
 import {expect} from 'chai';
 import type {CallerLimits} from './caller_server.js';
-import {CallerServer, DEFAULT_CALLER_LIMITS} from './caller_server.js';
-import type {HeaderCodec} from './header_codec.js';
-import type {RelayEntry} from './entry.js';
+import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
 import type {CallerRequest} from './entry_types.js';
-import type {RelayObserver} from './observer.js';
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
+import {HOST, answer, listen} from './testing/caller_server_fixture.js';
 
-const HOST = '127.0.0.1';
 /** More than a connection buffers between two processes. */
 const LONG_BODY_BYTES = 32 * 1024 * 1024;
 /** Memory of the smallest instances, less that of a process at rest. */
 const MAX_ADDED_BYTES = 180 * 1024 * 1024;
 
-const OBSERVER: RelayObserver = {
-  log: () => undefined,
-  count: () => undefined,
-  measure: () => undefined,
-};
-
-const HEADER_CODEC: HeaderCodec = {
-  strippedRequestHeaders: new Set(['request-id']),
-  strippedResponseHeaders: new Set(),
-  parseCallerHeaders: headers => ({
-    requestId: String(headers['request-id'] ?? ''),
-    timeoutMs: undefined,
-  }),
-  formatTargetHeaders: () => [],
-  parseTargetReport: () => ({limitPerSecond: undefined, isLeaving: false}),
-  classifyResponse: () => ({kind: 'answer'}),
-};
-
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  server.listen(0, HOST);
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 /** Sends text to a server with the given handler; returns what it sends back. */
 async function exchange(
   handle: (request: CallerRequest) => Promise<RelayOutcome>,
@@ -63,38 +31,6 @@
   return received;
 }
 
-/** Starts a server with the given handler and delay of its event loop. */
-async function listen(
-  handle: (request: CallerRequest) => Promise<RelayOutcome>,
-  limits = DEFAULT_CALLER_LIMITS,
-  loopDelayMs = 0,
-): Promise<{server: CallerServer; port: number}> {
-  const entry = {
-    handle,
-    options: {getConfiguration: () => ({state: {version: 1}})},
-  } as unknown as RelayEntry;
-  const server = new CallerServer({
-    entry,
-    headerCodec: HEADER_CODEC,
-    observer: OBSERVER,
-    getLimits: () => limits,
-    getLoopDelayMs: () => loopDelayMs,
-  });
-  const port = await findFreePort();
-  await server.listen(HOST, port);
-  return {server, port};
-}
-
-function answer(body: string, isFramed: boolean): RelayOutcome {
-  return {
-    kind: 'answered',
-    statusCode: 200,
-    headers: ['Response-Id', body],
-    body: Buffer.from(body),
-    isFramed,
-  };
-}
-
 /** Sends requests whose callers leave at once; returns how many are handled. */
 async function countHandled(
   requestCount: number,
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -7,6 +7,7 @@
 import {Server as NetServer} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
+import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
 import {countHeaderBytes, filterHeaders, readBody} from './caller_messages.js';
 import type {HeaderCodec} from './header_codec.js';
@@ -98,6 +99,15 @@
     return count;
   }
 
+  /** Counts the open connections, and those without any part of a request. */
+  describeConnections(): {connections: number; idleConnections: number} {
+    let idleConnections = 0;
+    for (const connection of this.connections.values()) {
+      if (connection.isIdle()) idleConnections += 1;
+    }
+    return {connections: this.connections.size, idleConnections};
+  }
+
   /** Returns the time since the last request arrived. */
   getIdleMs(): number {
     return performance.now() - this.lastRequestAtMs;
@@ -113,14 +123,20 @@
   }
 
   /**
-   * Resets the connections with requests in flight. A connection that the end of the
-   * process closes could mark a part of a response as complete.
+   * Resets the connections with requests in flight, and returns their number. A
+   * connection that the end of the process closes could mark a part of a response as
+   * complete.
    */
-  abortInFlight(): void {
+  abortInFlight(): number {
+    let cutCount = 0;
     for (const connection of this.connections.values()) {
-      if (connection.countInFlight() === 0) continue;
+      const requests = connection.describeInFlight();
+      if (requests.length === 0) continue;
+      for (const request of requests) this.logCut(request);
+      cutCount += requests.length;
       connection.socket.resetAndDestroy();
     }
+    return cutCount;
   }
 
   /** Stops accepting connections; those with requests stay open. */
@@ -135,13 +151,22 @@
     }
   }
 
+  private logCut(request: UnansweredRequest): void {
+    const {observer} = this.options;
+    observer.count('cut', request.hasAnswer ? 'in-answer' : 'before-answer');
+    observer.log('warn', COMPONENT, 'cut', {...request});
+  }
+
   private async serve(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const {socket} = request;
     const connection = this.connections.get(socket);
-    if (connection?.admit(response) !== true) {
+    const {requestId} = this.options.headerCodec.parseCallerHeaders(
+      request.headers,
+    );
+    if (connection?.admit(response, requestId) !== true) {
       this.options.observer.count('refused', 'closed');
       return;
     }
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -27,6 +27,8 @@
   | 'answered'
   | 'refused'
   | 'lost'
+  /** A request whose connection was reset at the end of a stop. */
+  | 'cut'
   | 'retried'
   | 'retry-denied'
   | 'offer-refused'
