Pass on a pipelined request only when the response before it is known

Callers take requests behind a closing response as not read and send them again, whatever their kind, so that a non-idempotent one ran twice.

Cause: requests were passed on as soon as they were read, and whether a response closes the connection is known only when it comes. Class: a connection is closed while work that was taken from it is still owed. The same cause let a rejection (413, 431) close the connection before the requests ahead of it had been considered.

A request now has its turn once the response before it on its connection is known, and is not passed on if that closes. Requests of other connections do not wait. The order of responses made a caller wait for the earlier ones before; what it loses is the overlap of the runs.

Test: "Pipelined requests are not passed on while a response before them may close the connection"; before the change it showed the runs [/2, /3, /1] instead of [/1]. Reading a request with its limits becomes one function.

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -20,12 +20,15 @@
   readonly requestId: string;
   readonly admittedAtMs: number;
   readonly position: number;
+  /** Resolves once it is known whether the response before this one closes. */
+  readonly turn: Promise<void>;
 }
 
 /**
  * Decides which response closes the connection. Callers send further requests before
  * the first response; a response that closes the connection must be the last one, and
- * callers take requests behind it as not read.
+ * callers take requests behind it as not read. So a request has its turn only once the
+ * response before it is known.
  */
 export class CallerConnection {
   private readonly openedAtMs = performance.now();
@@ -38,6 +41,9 @@
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
+  /** Turn of the next request. */
+  private nextTurn: Promise<void> = Promise.resolve();
+  private readonly endTurns = new Map<ServerResponse, () => void>();
 
   constructor(readonly socket: Socket) {}
 
@@ -58,8 +64,13 @@
       requestId,
       admittedAtMs: performance.now(),
       position: this.requestCount,
+      turn: this.nextTurn,
+    });
+    this.nextTurn = new Promise(resolve => {
+      this.endTurns.set(response, resolve);
     });
     response.once('close', () => {
+      this.endTurn(response);
       this.unwritten.delete(response);
       this.readBytes = this.socket.bytesRead;
       this.writtenBytes = this.socket.bytesWritten;
@@ -67,6 +78,21 @@
     return true;
   }
 
+  /**
+   * Waits until the response before this one is known; `false` if that closes the
+   * connection or the connection is closed.
+   */
+  async whenTurn(response: ServerResponse): Promise<boolean> {
+    await this.unwritten.get(response)?.turn;
+    return !this.isClosing && this.unwritten.has(response);
+  }
+
+  /** Lets the next request have its turn, since this response is known. */
+  endTurn(response: ServerResponse): void {
+    this.endTurns.get(response)?.();
+    this.endTurns.delete(response);
+  }
+
   /** Requests whose response has not been handed to the operating system yet. */
   countInFlight(): number {
     return this.unwritten.size;
--- a/packages/relay/src/caller_messages.ts
+++ b/packages/relay/src/caller_messages.ts
@@ -6,17 +6,24 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
-/** Result of reading the body of a request. */
-export type BodyResult =
-  | {readonly kind: 'body'; readonly body: Uint8Array}
-  | {readonly kind: 'too-large'}
+const REQUEST_TOO_LARGE_STATUS = 413;
+const HEADERS_TOO_LARGE_STATUS = 431;
+const BODY_TOO_LARGE: ReadResult = {
+  kind: 'too-large',
+  statusCode: REQUEST_TOO_LARGE_STATUS,
+};
+
+/** Result of reading a request. */
+export type ReadResult =
+  | {readonly kind: 'whole'; readonly body: Uint8Array}
+  /** It exceeds a limit, which the status names. */
+  | {readonly kind: 'too-large'; readonly statusCode: number}
   | {readonly kind: 'incomplete'};
 
-/** Returns the size of the request line and the headers. */
-export function countHeaderBytes(request: IncomingMessage): number {
-  let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
-  for (const text of request.rawHeaders) bytes += text.length + 2;
-  return bytes;
+/** Sizes up to which requests are read. */
+export interface RequestLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
 }
 
 /** Returns the headers to forward, as alternating names and values. */
@@ -44,26 +51,35 @@
   return new Set(names.map(name => name.trim().toLowerCase()));
 }
 
-/** Reads the body of a request, up to a limit. */
-export async function readBody(
+/** Reads the rest of a request whose head has been read. */
+export async function readRequest(
   request: IncomingMessage,
-  maxBytes: number,
-): Promise<BodyResult> {
+  limits: RequestLimits,
+): Promise<ReadResult> {
+  if (countHeaderBytes(request) > limits.maxHeaderBytes) {
+    return {kind: 'too-large', statusCode: HEADERS_TOO_LARGE_STATUS};
+  }
   const {headers} = request;
   const length = Number(headers['content-length'] ?? 0);
-  if (length > maxBytes) return {kind: 'too-large'};
+  if (length > limits.maxBodyBytes) return BODY_TOO_LARGE;
   const hasBody = length > 0 || headers['transfer-encoding'] !== undefined;
-  if (!hasBody) return {kind: 'body', body: EMPTY_BODY};
+  if (!hasBody) return {kind: 'whole', body: EMPTY_BODY};
   const body = new BodyBuffer();
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
       body.append(chunk);
-      if (body.getSize() > maxBytes) return {kind: 'too-large'};
+      if (body.getSize() > limits.maxBodyBytes) return BODY_TOO_LARGE;
     }
   } catch {
     // The caller disconnected mid-body; nothing has been forwarded yet.
     return {kind: 'incomplete'};
   }
   if (!request.complete) return {kind: 'incomplete'};
-  return {kind: 'body', body: body.take()};
+  return {kind: 'whole', body: body.take()};
+}
+
+function countHeaderBytes(request: IncomingMessage): number {
+  let bytes = (request.method?.length ?? 0) + (request.url?.length ?? 0);
+  for (const text of request.rawHeaders) bytes += text.length + 2;
+  return bytes;
 }
--- /dev/null
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -0,0 +1,56 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
+import {HOST, answer, listen} from './testing/caller_server_fixture.js';
+
+const newHead = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+describe('Pipelined requests', () => {
+  // A response without a length ends with its connection. Requests behind it had been
+  // passed on, ran, and were cut, though callers take them as not read and send them
+  // again: a non-idempotent one ran twice.
+  it('are not passed on while a response before them may close the connection', async () => {
+    const handled: string[] = [];
+    const {server, port} = await listen(async ({path}) => {
+      handled.push(path);
+      await sleep(30);
+      return answer(path, false);
+    });
+    const socket = connect({host: HOST, port});
+    let received = '';
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    socket.write(newHead('/1') + newHead('/2') + newHead('/3'));
+    await once(socket, 'close');
+    await sleep(50);
+    server.stopAccepting();
+    expect(handled).to.deep.equal(['/1']);
+    expect(received.match(/response-id: \/1/gi)).to.have.length(1);
+  });
+
+  // A rejection closes the connection, so it has to wait for the requests before it.
+  it('all have their responses before a rejection closes the connection', async () => {
+    const limits = {...DEFAULT_CALLER_LIMITS, maxHeaderBytes: 200};
+    const {server, port} = await listen(async ({path}) => {
+      await sleep(20);
+      return answer(path, true);
+    }, limits);
+    const socket = connect({host: HOST, port});
+    let received = '';
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    const tooLong = newHead(`/${'x'.repeat(300)}`);
+    socket.write(newHead('/1') + newHead('/2') + tooLong + newHead('/4'));
+    await once(socket, 'close');
+    server.stopAccepting();
+    expect(received.match(/response-id: \/[12]/gi)).to.have.length(2);
+    expect(received.match(/HTTP\/1\.1 \d+/g)).to.deep.equal([
+      'HTTP/1.1 200',
+      'HTTP/1.1 200',
+      'HTTP/1.1 431',
+    ]);
+  });
+});
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -9,7 +9,7 @@
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
 import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
-import {countHeaderBytes, filterHeaders, readBody} from './caller_messages.js';
+import {filterHeaders, readRequest} from './caller_messages.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
@@ -182,20 +182,20 @@
     socket.once('end', handleClose);
     const {signal} = controller;
     await this.respond({request, response, connection, receivedAtMs, signal});
+    connection.endTurn(response);
     socket.off('close', handleClose);
     socket.off('end', handleClose);
   }
 
   private async respond(exchange: CallerExchange): Promise<void> {
-    const {request, response, receivedAtMs, signal} = exchange;
-    const limits = this.options.getLimits();
-    if (countHeaderBytes(request) > limits.maxHeaderBytes) {
-      this.reject(exchange, 431);
+    const {request, response, connection, receivedAtMs, signal} = exchange;
+    const result = await readRequest(request, this.options.getLimits());
+    if (!(await connection.whenTurn(response))) {
+      this.options.observer.count('refused', 'closed');
       return;
     }
-    const result = await readBody(request, limits.maxBodyBytes);
     if (result.kind === 'too-large') {
-      this.reject(exchange, 413);
+      this.reject(exchange, result.statusCode);
       return;
     }
     if (result.kind === 'incomplete') {
