Read what has arrived before a stop closes idle connections

Cause: a late turn of the event loop runs timers before it polls its sockets, so the stop took callers for idle and connections for unused whose bytes lay in the kernel, and reset connections that waited to be accepted. Class: a decision on what has been read is taken for one on what has arrived.

After each wait the stop now polls until a poll brings no connection and no request, and only then decides; nothing runs between that and the end of accepting.

Tests, red without the poll: "Graceful shutdown reads what arrived during a delay before it takes callers for idle", "Caller server reads what has arrived before it closes idle connections" (got '' instead of a response).

--- a/packages/daemon/src/mesh/graceful_shutdown.test.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.test.ts
@@ -14,6 +14,7 @@
   inFlightRequests = 0;
   lastRequestMs = 0;
   serveUntilMs = NaN;
+  handleRead: () => void = () => undefined;
 
   beginDrain(): void {
     this.record('begin-drain');
@@ -32,9 +33,15 @@
     this.record('stop-accepting');
   }
 
+  readArrived(): Promise<void> {
+    this.handleRead();
+    return Promise.resolve();
+  }
+
   abortInFlight(): void {
     this.record('abort');
   }
+
   getInFlightCount(): number {
     return this.inFlightRequests;
   }
@@ -138,4 +145,24 @@
     await clock.tickAsync(1_000);
     expect(endedMs).to.be.within(4_000, 4_200);
   });
+
+  // A late event loop runs the timers of a stop before it reads what arrived meanwhile.
+  // The stop took the callers for idle and reset connections whose requests were unread.
+  it('reads what arrived during a delay before it takes callers for idle', async () => {
+    const hooks = new FakeShutdownHooks();
+    const arrivalMs = 2_500;
+    const delayEndMs = 2_900;
+    hooks.handleRead = () => {
+      const isUnread = hooks.lastRequestMs < arrivalMs;
+      if (isUnread && performance.now() >= delayEndMs) {
+        hooks.lastRequestMs = performance.now();
+      }
+    };
+    const shutdown = shutDownGracefully(hooks, GRACE_PERIOD_MS);
+    await clock.tickAsync(arrivalMs - 100);
+    clock.jump(delayEndMs - arrivalMs + 100);
+    await clock.tickAsync(GRACE_PERIOD_MS);
+    expect(await shutdown).to.equal(true);
+    expect(hooks.getStepMs('stop-accepting')).to.be.above(delayEndMs + 200);
+  });
 });
--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -15,7 +15,9 @@
    * may not be complete at the given time are refused from now on.
    */
   drainCallerConnections(serveUntilMs: number): void;
-  /** Stops accepting connections. */
+  /** Reads what has arrived on all connections, new ones included. */
+  readArrived(): Promise<void>;
+  /** Stops accepting connections and closes those without a request. */
   stopAccepting(): void;
   /** Requests in flight, both from callers and at the target. */
   getInFlightCount(): number;
@@ -57,13 +59,13 @@
   hooks.drainCallerConnections(startMs + deadlineMs - LAST_RESPONSE_RESERVE_MS);
   // Keeps running to refuse the offers that entries send before they learn that
   // the gate has closed.
-  await sleep(IDLE_MS);
+  await sleepAndRead(hooks, IDLE_MS);
   while (getElapsedMs() < ACCEPT_DEADLINE_MS && !areCallersIdle(hooks)) {
-    await sleep(POLL_INTERVAL_MS);
+    await sleepAndRead(hooks, POLL_INTERVAL_MS);
   }
   hooks.stopAccepting();
   while (hooks.getInFlightCount() > 0 && getElapsedMs() < deadlineMs) {
-    await sleep(POLL_INTERVAL_MS);
+    await sleepAndRead(hooks, POLL_INTERVAL_MS);
   }
   const isGraceful = hooks.getInFlightCount() === 0;
   if (!isGraceful) hooks.abortInFlight();
@@ -74,6 +76,15 @@
   return hooks.getInFlightCount() === 0 && hooks.getCallerIdleMs() >= IDLE_MS;
 }
 
+// A late event loop runs timers before it reads what arrived meanwhile.
+async function sleepAndRead(
+  hooks: ShutdownHooks,
+  delayMs: number,
+): Promise<void> {
+  await sleep(delayMs);
+  await hooks.readArrived();
+}
+
 function sleep(delayMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, delayMs));
 }
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -183,6 +183,7 @@
         this.logStopStep('accept-ended');
         this.callerServer.stopAccepting();
       },
+      readArrived: () => this.callerServer.readArrived(),
       getInFlightCount: () => this.countInFlight(),
       abortInFlight: () => void this.callerServer.abortInFlight(),
       getCallerIdleMs: () => this.callerServer.getIdleMs(),
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -59,6 +59,15 @@
   return handled - 1;
 }
 
+/** Returns what a socket receives until its connection ends. */
+async function readToEnd(socket: Socket): Promise<string> {
+  let received = '';
+  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+  socket.on('error', () => undefined);
+  await new Promise(resolve => socket.once('close', resolve));
+  return received;
+}
+
 const FINAL_REQUEST =
   'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n';
 
@@ -153,6 +162,30 @@
     started.destroy();
   });
 
+  // Bytes that a late event loop has not read yet don't show on the connection, which
+  // was closed as idle: requests were reset long after they had been sent.
+  it('reads what has arrived before it closes idle connections', async () => {
+    const {server, port} = await listen(() =>
+      Promise.resolve(answer('ok', true)),
+    );
+    const kept = connect({host: HOST, port});
+    kept.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    await once(kept, 'data');
+    const unused = connect({host: HOST, port});
+    await once(unused, 'connect');
+    const added = Array.from({length: 5}, () => connect({host: HOST, port}));
+    await Promise.all(added.map(socket => once(socket, 'connect')));
+    const sockets = [kept, unused, ...added];
+    const received = Promise.all(sockets.map(readToEnd));
+    server.requestClose(Infinity);
+    for (const socket of sockets) socket.write(FINAL_REQUEST);
+    await server.readArrived();
+    server.stopAccepting();
+    for (const text of await received) {
+      expect(text).to.match(/^HTTP\/1\.1 200 /);
+    }
+  });
+
   // The first response carried Connection: close, though the second request had been
   // passed on; the connection ended before its response.
   it('planned stop: responds to all pipelined requests that were passed on', async () => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -43,6 +43,8 @@
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Delay of the event loop from which on callers may have left unnoticed. */
 const LATE_LOOP_MS = 100;
+/** More than the connections that wait to be accepted. */
+const MAX_READ_POLLS = 1_024;
 const MS_PER_SECOND = 1_000;
 
 /** A request that is being served. */
@@ -59,6 +61,8 @@
 export class CallerServer {
   private readonly server: Server;
   private lastRequestAtMs = 0;
+  /** Connections and requests so far. */
+  private arrivalCount = 0;
   private isClosing = false;
   /** Time by which responses must be sent; finite while this process stops. */
   private serveUntilMs = Infinity;
@@ -70,6 +74,7 @@
       (request, response) => void this.serve(request, response),
     );
     this.server.on('connection', socket => {
+      this.arrivalCount += 1;
       this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
@@ -139,6 +144,18 @@
     return cutCount;
   }
 
+  /**
+   * Reads what has arrived, until a poll brings nothing new. The runtime accepts one
+   * connection a turn, so a late event loop needs several turns to catch up.
+   */
+  async readArrived(): Promise<void> {
+    for (let polls = 0; polls < MAX_READ_POLLS; polls += 1) {
+      const arrivals = this.arrivalCount;
+      await pollSockets();
+      if (this.arrivalCount === arrivals) return;
+    }
+  }
+
   /** Stops accepting connections; those with requests stay open. */
   stopAccepting(): void {
     // http.Server.close would also close connections whose request has not been
@@ -172,6 +189,7 @@
     }
     const receivedAtMs = performance.now();
     this.lastRequestAtMs = receivedAtMs;
+    this.arrivalCount += 1;
     const controller = new AbortController();
     const handleClose = () => {
       if (!response.writableFinished) controller.abort();
