Refuse all requests once a stop has found nothing in flight

The stop now sets the time by which responses must be sent to the past as soon as it has found nothing in flight, so that the entry refuses every later request itself (503, `stopping`).

Test: "Graceful shutdown refuses the requests that come after nothing was in flight", red without the call (NaN instead of the end).

--- a/packages/daemon/src/mesh/graceful_shutdown.test.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.test.ts
@@ -38,6 +38,10 @@
     return Promise.resolve();
   }
 
+  refuseRequests(): void {
+    this.record('refuse-requests');
+  }
+
   abortInFlight(): void {
     this.record('abort');
   }
@@ -165,4 +169,16 @@
     expect(await shutdown).to.equal(true);
     expect(hooks.getStepMs('stop-accepting')).to.be.above(delayEndMs + 200);
   });
+
+  // Requests that came between the last check and the end of the process were passed on
+  // and cut.
+  it('refuses the requests that come after nothing was in flight', async () => {
+    const hooks = new FakeShutdownHooks();
+    let endedMs = NaN;
+    void shutDownGracefully(hooks, GRACE_PERIOD_MS).then(() => {
+      endedMs = performance.now();
+    });
+    await clock.tickAsync(GRACE_PERIOD_MS);
+    expect(hooks.getStepMs('refuse-requests')).to.equal(endedMs);
+  });
 });
--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -19,6 +19,8 @@
   readArrived(): Promise<void>;
   /** Stops accepting connections and closes those without a request. */
   stopAccepting(): void;
+  /** Refuses all requests from now on. */
+  refuseRequests(): void;
   /** Requests in flight, both from callers and at the target. */
   getInFlightCount(): number;
   /** Ends the connections of requests in flight, so that they look cut. */
@@ -68,6 +70,7 @@
     await sleepAndRead(hooks, POLL_INTERVAL_MS);
   }
   const isGraceful = hooks.getInFlightCount() === 0;
+  hooks.refuseRequests();
   if (!isGraceful) hooks.abortInFlight();
   return isGraceful;
 }
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -184,6 +184,7 @@
         this.callerServer.stopAccepting();
       },
       readArrived: () => this.callerServer.readArrived(),
+      refuseRequests: () => this.callerServer.requestClose(-Infinity),
       getInFlightCount: () => this.countInFlight(),
       abortInFlight: () => void this.callerServer.abortInFlight(),
       getCallerIdleMs: () => this.callerServer.getIdleMs(),
