Write the responses that a late event loop holds when the grace period ends

Cause: the timer of the end ran before the sockets of links and targets were polled, and the connections were reset at once. Class: as in the closing of idle connections.

Before it resets anything the stop now polls at least three times, and until 150 ms after its deadline. So that the stop still ends within the grace period, the closing of links takes no more than what is left, and a signal that a late loop handled late counts from earlier.

Test: "Graceful shutdown lets responses that arrived during a delay be written before it ends", red without the polls (false instead of true).

--- a/packages/daemon/src/mesh/graceful_shutdown.test.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.test.ts
@@ -170,6 +170,26 @@
     expect(hooks.getStepMs('stop-accepting')).to.be.above(delayEndMs + 200);
   });
 
+  // After a delay across the end of the grace period, responses that had arrived in time
+  // were cut, since the timer of the end ran before they were read.
+  it('lets responses that arrived during a delay be written before it ends', async () => {
+    const hooks = new FakeShutdownHooks();
+    hooks.inFlightRequests = 1;
+    let readCount = 0;
+    hooks.handleRead = () => {
+      if (performance.now() < 5_450) return;
+      readCount += 1;
+      // Reading a response and writing it take several turns.
+      if (readCount === 2) hooks.inFlightRequests = 0;
+    };
+    const shutdown = shutDownGracefully(hooks, GRACE_PERIOD_MS);
+    await clock.tickAsync(4_950);
+    clock.jump(500);
+    await clock.tickAsync(500);
+    expect(await shutdown).to.equal(true);
+    expect(hooks.steps.has('abort')).to.equal(false);
+  });
+
   // Requests that came between the last check and the end of the process were passed on
   // and cut.
   it('refuses the requests that come after nothing was in flight', async () => {
--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -45,7 +45,12 @@
 const FINAL_WRITE_RESERVE_MS = 600;
 /** Reserved before that for writing the last responses. */
 const LAST_RESPONSE_RESERVE_MS = 100;
+/** Part of the final reserve in which responses that have arrived are still written. */
+const LATE_RESPONSE_MS = 150;
 const POLL_INTERVAL_MS = 50;
+const LATE_POLL_INTERVAL_MS = 10;
+/** Polls after the deadline, however late the event loop is. */
+const MIN_LATE_POLLS = 3;
 
 /** Runs the shutdown; `false` if requests were still in flight at the end. */
 export async function shutDownGracefully(
@@ -69,6 +74,12 @@
   while (hooks.getInFlightCount() > 0 && getElapsedMs() < deadlineMs) {
     await sleepAndRead(hooks, POLL_INTERVAL_MS);
   }
+  // A late event loop may hold responses that arrived in time.
+  for (let polls = 0; hooks.getInFlightCount() > 0; polls += 1) {
+    const isOver = getElapsedMs() >= deadlineMs + LATE_RESPONSE_MS;
+    if (isOver && polls >= MIN_LATE_POLLS) break;
+    await sleepAndRead(hooks, LATE_POLL_INTERVAL_MS);
+  }
   const isGraceful = hooks.getInFlightCount() === 0;
   hooks.refuseRequests();
   if (!isGraceful) hooks.abortInFlight();
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -50,6 +50,8 @@
 const LOGGED_LOOP_DELAY_MS = 150;
 /** Longest wait for peers to confirm that a link is closed. */
 const LINK_CLOSE_TIMEOUT_MS = 350;
+/** Part of the grace period that is left for writing the log. */
+const FLUSH_RESERVE_MS = 250;
 /** Time after start for the target to announce itself before it is queried. */
 const DISCOVERY_DELAY_MS = 250;
 
@@ -148,28 +150,36 @@
   async stop(): Promise<boolean> {
     const {log, shutdownGracePeriodMs} = this.options;
     this.isStopping = true;
+    // A late event loop handles the signal late.
+    const gracePeriodMs = shutdownGracePeriodMs - this.loopDelay.getDelayMs();
+    const endAtMs = performance.now() + gracePeriodMs;
     log.write('info', COMPONENT, 'draining', this.describeLoad());
     const isGraceful = await shutDownGracefully(
       this.getShutdownHooks(),
-      shutdownGracePeriodMs,
+      gracePeriodMs,
     );
     log.write(isGraceful ? 'info' : 'warn', COMPONENT, 'stopped', {
       isWhole: isGraceful,
       ...this.describeLoad(),
     });
     clearInterval(this.sweepTimer);
-    // Links are closed before the process ends: the operating system would reset
-    // them, and drop the responses on their way, if frames had arrived unread.
-    const linksClosed = Promise.race([
-      this.relayTransport.close(),
-      new Promise(resolve => setTimeout(resolve, LINK_CLOSE_TIMEOUT_MS)),
-    ]);
-    await Promise.all([this.coordinator.stop(), linksClosed]);
+    await Promise.all([this.coordinator.stop(), this.closeLinks(endAtMs)]);
     const cutCount = this.callerServer.abortInFlight();
     log.write(cutCount === 0 ? 'info' : 'warn', COMPONENT, 'ended', {cutCount});
     return isGraceful && cutCount === 0;
   }
 
+  // Links are closed before the process ends: the operating system would reset them,
+  // and drop the responses on their way, if frames had arrived unread.
+  private async closeLinks(endAtMs: number): Promise<void> {
+    const leftMs = endAtMs - FLUSH_RESERVE_MS - performance.now();
+    const timeoutMs = Math.max(0, Math.min(LINK_CLOSE_TIMEOUT_MS, leftMs));
+    await Promise.race([
+      this.relayTransport.close(),
+      new Promise(resolve => setTimeout(resolve, timeoutMs)),
+    ]);
+  }
+
   private getShutdownHooks(): ShutdownHooks {
     return {
       beginDrain: () => this.coordinator.beginDrain(),
