Let idempotent requests of a connection overlap again

A request now waits only where overlapping could break something: a non-idempotent one waits for the responses before it and holds up those behind it, since a caller that loses it behind a closing response sends it again. Idempotent ones overlap, unless a target of their service has sent a response without a length within the last minute. So the first such response can still cut idempotent requests behind it, which callers send again; each is logged (`cut`).

Tests: "Pipelined requests overlap only if all of them may", "Relay entry lets only idempotent requests of framed services overlap on a connection". The time by which responses must be sent is read when a request is passed on, since it may wait before.

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -20,15 +20,21 @@
   readonly requestId: string;
   readonly admittedAtMs: number;
   readonly position: number;
-  /** Resolves once it is known whether the response before this one closes. */
-  readonly turn: Promise<void>;
+  /** {@link CallerConnection.allKnown} before this request. */
+  readonly allKnown: Promise<unknown>;
+  /** {@link CallerConnection.exclusiveKnown} before this request. */
+  readonly exclusiveKnown: Promise<unknown>;
+  /** Lets requests behind this one be passed on beside it. */
+  readonly allowOverlap: () => void;
+  /** Reports that the response is known. */
+  readonly endTurn: () => void;
 }
 
 /**
  * Decides which response closes the connection. Callers send further requests before
  * the first response; a response that closes the connection must be the last one, and
- * callers take requests behind it as not read. So a request has its turn only once the
- * response before it is known.
+ * callers take requests behind it as not read. So a request is passed on beside others only
+ * if it may overlap with them.
  */
 export class CallerConnection {
   private readonly openedAtMs = performance.now();
@@ -41,9 +47,10 @@
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
-  /** Turn of the next request. */
-  private nextTurn: Promise<void> = Promise.resolve();
-  private readonly endTurns = new Map<ServerResponse, () => void>();
+  /** Resolves once the responses to all requests so far are known. */
+  private allKnown: Promise<unknown> = Promise.resolve();
+  /** Resolves once that is so for those that no other request may overlap. */
+  private exclusiveKnown: Promise<unknown> = Promise.resolve();
 
   constructor(readonly socket: Socket) {}
 
@@ -54,43 +61,60 @@
     );
   }
 
-  /** Admits the next request; `false` if a response before it closes. */
+  /** Admits the next request; `false` if the connection closes before it. */
   admit(response: ServerResponse, requestId: string): boolean {
     if (this.isClosing) return false;
     this.firstResponse ??= response;
     this.lastResponse = response;
     this.requestCount += 1;
+    const {allKnown, exclusiveKnown} = this;
+    const known = newSignal();
+    const overlap = newSignal();
+    this.allKnown = Promise.all([allKnown, known.whenSent]);
+    this.exclusiveKnown = Promise.all([exclusiveKnown, overlap.whenSent]);
     this.unwritten.set(response, {
       requestId,
       admittedAtMs: performance.now(),
       position: this.requestCount,
-      turn: this.nextTurn,
-    });
-    this.nextTurn = new Promise(resolve => {
-      this.endTurns.set(response, resolve);
+      allKnown,
+      exclusiveKnown,
+      allowOverlap: overlap.send,
+      endTurn: () => {
+        known.send();
+        overlap.send();
+      },
     });
     response.once('close', () => {
-      this.endTurn(response);
-      this.unwritten.delete(response);
+      this.remove(response);
       this.readBytes = this.socket.bytesRead;
       this.writtenBytes = this.socket.bytesWritten;
     });
     return true;
   }
 
+  /** Owes no response to a request behind one that closes the connection. */
+  remove(response: ServerResponse): void {
+    this.endTurn(response);
+    this.unwritten.delete(response);
+  }
+
   /**
-   * Waits until the response before this one is known; `false` if that closes the
-   * connection or the connection is closed.
+   * Waits until the request may be passed on; `false` if the connection closes before
+   * it. One that may overlap waits only for those before it that may not.
    */
-  async whenTurn(response: ServerResponse): Promise<boolean> {
-    await this.unwritten.get(response)?.turn;
+  async whenTurn(
+    response: ServerResponse,
+    mayOverlap: boolean,
+  ): Promise<boolean> {
+    const request = this.unwritten.get(response);
+    if (mayOverlap) request?.allowOverlap();
+    await (mayOverlap ? request?.exclusiveKnown : request?.allKnown);
     return !this.isClosing && this.unwritten.has(response);
   }
 
-  /** Lets the next request have its turn, since this response is known. */
+  /** Lets the requests behind this one have their turn, as its response is known. */
   endTurn(response: ServerResponse): void {
-    this.endTurns.get(response)?.();
-    this.endTurns.delete(response);
+    this.unwritten.get(response)?.endTurn();
   }
 
   /** Requests whose response has not been handed to the operating system yet. */
@@ -98,10 +122,11 @@
     return this.unwritten.size;
   }
 
-  /** Describes the requests in flight. */
-  describeInFlight(): UnansweredRequest[] {
+  /** Describes the requests in flight other than the given one. */
+  describeInFlight(except?: ServerResponse): UnansweredRequest[] {
     const nowMs = performance.now();
-    return [...this.unwritten].map(([response, request]) => ({
+    const others = [...this.unwritten].filter(([each]) => each !== except);
+    return others.map(([response, request]) => ({
       requestId: request.requestId,
       ageMs: Math.round(nowMs - request.admittedAtMs),
       connectionAgeMs: Math.round(nowMs - this.openedAtMs),
@@ -126,3 +151,16 @@
     this.isClosing = true;
   }
 }
+
+interface Signal {
+  readonly whenSent: Promise<void>;
+  readonly send: () => void;
+}
+
+function newSignal(): Signal {
+  let send: () => void = () => undefined;
+  const whenSent = new Promise<void>(resolve => {
+    send = resolve;
+  });
+  return {whenSent, send};
+}
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import {expect} from 'chai';
 import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
@@ -6,6 +7,15 @@
 
 const newHead = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
 
+/** Returns what a socket receives until its connection ends. */
+async function readToEnd(socket: Socket): Promise<string> {
+  let received = '';
+  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+  socket.on('error', () => undefined);
+  await new Promise(resolve => socket.once('close', resolve));
+  return received;
+}
+
 function sleep(delayMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, delayMs));
 }
@@ -53,4 +63,38 @@
       'HTTP/1.1 431',
     ]);
   });
+
+  // To wait for the response before it would cost a request that may be repeated time
+  // for a case that is rare. Those before and behind it must still not overlap.
+  it('overlap only if all of them may', async () => {
+    const events: string[] = [];
+    const handle = async ({path}: {readonly path: string}) => {
+      events.push(`run ${path}`);
+      await sleep(20);
+      events.push(`end ${path}`);
+      return answer(path, true);
+    };
+    const {server, port} = await listen(
+      handle,
+      DEFAULT_CALLER_LIMITS,
+      0,
+      undefined,
+      path => !path.startsWith('/unsafe'),
+    );
+    const socket = connect({host: HOST, port});
+    const received = readToEnd(socket);
+    const paths = ['/1', '/2', '/unsafe', '/3', '/4'];
+    for (const path of paths) socket.write(newHead(path));
+    await sleep(150);
+    socket.end();
+    await received;
+    server.stopAccepting();
+    const position = (event: string) => events.indexOf(event);
+    expect(position('run /2')).to.be.below(position('end /1'));
+    expect(position('run /unsafe')).to.be.above(position('end /1'));
+    expect(position('run /unsafe')).to.be.above(position('end /2'));
+    expect(position('run /3')).to.be.above(position('end /unsafe'));
+    expect(position('run /4')).to.be.below(position('end /3'));
+    expect(events).to.have.length(2 * paths.length);
+  });
 });
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -43,6 +43,8 @@
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Delay of the event loop from which on callers may have left unnoticed. */
 const LATE_LOOP_MS = 100;
+/** Duration of a poll from which on more may have arrived meanwhile. */
+const LATE_POLL_MS = 20;
 /** More than the connections that wait to be accepted. */
 const MAX_READ_POLLS = 1_024;
 const MS_PER_SECOND = 1_000;
@@ -145,14 +147,16 @@
   }
 
   /**
-   * Reads what has arrived, until a poll brings nothing new. The runtime accepts one
+   * Reads what has arrived, until a poll that is not late brings nothing new. The runtime accepts one
    * connection a turn, so a late event loop needs several turns to catch up.
    */
   async readArrived(): Promise<void> {
     for (let polls = 0; polls < MAX_READ_POLLS; polls += 1) {
       const arrivals = this.arrivalCount;
+      const startedAtMs = performance.now();
       await pollSockets();
-      if (this.arrivalCount === arrivals) return;
+      const isLate = performance.now() - startedAtMs >= LATE_POLL_MS;
+      if (this.arrivalCount === arrivals && !isLate) return;
     }
   }
 
@@ -208,29 +212,27 @@
   private async respond(exchange: CallerExchange): Promise<void> {
     const {request, response, connection, receivedAtMs, signal} = exchange;
     const result = await readRequest(request, this.options.getLimits());
-    if (!(await connection.whenTurn(response))) {
+    const caller =
+      result.kind === 'whole'
+        ? this.toCallerRequest(request, result.body, receivedAtMs, signal)
+        : undefined;
+    const mayOverlap =
+      caller !== undefined && this.options.entry.mayOverlap(caller);
+    if (!(await connection.whenTurn(response, mayOverlap))) {
       this.options.observer.count('refused', 'closed');
+      connection.remove(response);
       return;
     }
     if (result.kind === 'too-large') {
       this.reject(exchange, result.statusCode);
       return;
     }
-    if (result.kind === 'incomplete') {
+    if (!caller || (await this.hasCallerLeft(exchange, caller))) {
       response.destroy();
       return;
     }
-    const caller = this.toCallerRequest(
-      request,
-      result.body,
-      receivedAtMs,
-      signal,
-    );
-    if (await this.hasCallerLeft(exchange, caller)) {
-      response.destroy();
-      return;
-    }
-    const outcome = await this.options.entry.handle(caller);
+    const {serveUntilMs} = this;
+    const outcome = await this.options.entry.handle({...caller, serveUntilMs});
     this.recordMetrics(caller, outcome);
     if (signal.aborted) response.destroy();
     else this.writeOutcome(exchange, caller, outcome);
@@ -241,7 +243,7 @@
   // for long although no turn is late.
   private async hasCallerLeft(
     {connection, response}: CallerExchange,
-    caller: CallerRequest,
+    caller: Pick<CallerRequest, 'requestId' | 'signal'>,
   ): Promise<boolean> {
     const loopDelayMs = this.options.getLoopDelayMs();
     const isLate = loopDelayMs >= LATE_LOOP_MS;
@@ -262,7 +264,7 @@
     body: Uint8Array,
     receivedAtMs: number,
     signal: AbortSignal,
-  ): CallerRequest {
+  ): Omit<CallerRequest, 'serveUntilMs'> {
     const {headerCodec} = this.options;
     const {requestId, timeoutMs} = headerCodec.parseCallerHeaders(
       request.headers,
@@ -278,13 +280,12 @@
       timeoutMs,
       receivedAtMs,
       signal,
-      serveUntilMs: this.serveUntilMs,
     };
   }
 
   private writeOutcome(
     exchange: CallerExchange,
-    caller: CallerRequest,
+    caller: Pick<CallerRequest, 'method'>,
     outcome: RelayOutcome,
   ): void {
     const {response, connection} = exchange;
@@ -292,6 +293,9 @@
     const isLast = this.isClosing && connection.isLast(response);
     const closes = isUnframed || isLast;
     if (closes) connection.announceClose();
+    if (isUnframed) {
+      for (const cut of connection.describeInFlight(response)) this.logCut(cut);
+    }
     if (outcome.kind === 'answered') {
       this.writeResponse(response, caller, outcome, closes);
       return;
@@ -319,7 +323,7 @@
   // cut it off, and a length would mark it as complete.
   private writeResponse(
     response: ServerResponse,
-    caller: CallerRequest,
+    caller: Pick<CallerRequest, 'method'>,
     outcome: AnsweredOutcome,
     closes: boolean,
   ): void {
@@ -350,7 +354,10 @@
     response.end();
   }
 
-  private recordMetrics(caller: CallerRequest, outcome: RelayOutcome): void {
+  private recordMetrics(
+    caller: Pick<CallerRequest, 'receivedAtMs'>,
+    outcome: RelayOutcome,
+  ): void {
     const {observer} = this.options;
     observer.count(outcome.kind, String(describeOutcome(outcome).reason));
     observer.measure('request', performance.now() - caller.receivedAtMs);
--- a/packages/relay/src/entry.test.ts
+++ b/packages/relay/src/entry.test.ts
@@ -73,6 +73,22 @@
     expect((await entry.handle(inTime)).kind).to.equal('answered');
   });
 
+  // A non-idempotent request that was cut behind another one ran twice, as its caller sent
+  // it again. The response to any request is cut behind one without a length.
+  it('lets only idempotent requests of framed services overlap on a connection', async () => {
+    clock = FakeTimers.install({toFake: ['performance']});
+    const once = await newEntry(new ScriptedGates([]), false);
+    expect(once.mayOverlap(newRequest())).to.equal(false);
+    const gates = new ScriptedGates(['answer', 'unframed']);
+    const entry = await newEntry(gates, true);
+    await entry.handle(newRequest());
+    expect(entry.mayOverlap(newRequest())).to.equal(true);
+    await entry.handle(newRequest());
+    expect(entry.mayOverlap(newRequest())).to.equal(false);
+    clock.tick(60_000);
+    expect(entry.mayOverlap(newRequest())).to.equal(true);
+  });
+
   it('retry storm: makes no offers to gates that have just reported a long wait', async () => {
     clock = FakeTimers.install({toFake: ['performance']});
     const gates = new ScriptedGates(
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -1,7 +1,7 @@
 /** Entry point for callers: matches a request to a rule and routes it. */
 
 import type {Route, RuleId, ServiceId} from '@cassiaknot/inventory';
-import {findRoute} from '@cassiaknot/inventory';
+import {findRoute, getRuleServiceIds} from '@cassiaknot/inventory';
 import {KeyedEwma, WeightedRoundRobin} from '@cassiaknot/routing';
 import {
   DEFAULT_MAX_ATTEMPTS,
@@ -32,6 +32,8 @@
 ]);
 
 const COMPONENT = 'entry';
+/** Time for which a service is expected to send further responses without a length. */
+const UNFRAMED_RESPONSE_TTL_MS = 60_000;
 
 /** Outcome of a request, with the fields logged alongside it. */
 interface RoutedOutcome {
@@ -47,9 +49,30 @@
   >();
   /** Mean run time of each route over all targets. */
   readonly runTimes = new KeyedEwma<RuleId>();
+  /** Services whose targets have sent responses without a length, until a time. */
+  private readonly unframedUntilMs = new Map<ServiceId, number>();
 
   constructor(readonly options: RelayEntryOptions) {}
 
+  /**
+   * Whether a request may be passed on beside others of its connection: repeating it
+   * is safe, and its response is not expected to close the connection.
+   */
+  mayOverlap(
+    request: Pick<CallerRequest, 'method' | 'host' | 'path'>,
+  ): boolean {
+    const route = this.findRoute(request);
+    if (!route) return false;
+    const {rule} = route;
+    if (!isIdempotent(rule, request.method)) return false;
+    const nowMs = performance.now();
+    for (const serviceId of getRuleServiceIds(rule)) {
+      const expiresAtMs = this.unframedUntilMs.get(serviceId) ?? -Infinity;
+      if (nowMs < expiresAtMs) return false;
+    }
+    return true;
+  }
+
   /** Routes one request, logs its outcome and returns it. */
   async handle(request: CallerRequest): Promise<RelayOutcome> {
     const {outcome, fields} = await this.route(request);
@@ -59,16 +82,12 @@
 
   private async route(request: CallerRequest): Promise<RoutedOutcome> {
     const mayRoute = await this.options.mayRoute();
-    const {state, routes} = this.options.getConfiguration();
+    const {state} = this.options.getConfiguration();
     if (state.version === 0 || !mayRoute) {
       const outcome = newRefusal('no-configuration', RETRY_AFTER_MS);
       return {outcome, fields: {version: state.version, mayRoute}};
     }
-    const queryStart = request.path.indexOf('?');
-    const path =
-      queryStart < 0 ? request.path : request.path.slice(0, queryStart);
-    const {method, host} = request;
-    const route = findRoute(routes, {method, path, host});
+    const route = this.findRoute(request);
     const {version} = state;
     if (!route) return {outcome: newRefusal('no-route', 0), fields: {version}};
     const plan = this.resolvePlan(route, request, version);
@@ -88,9 +107,24 @@
       return {outcome, fields: routed.getLogFields()};
     }
     const outcome = await routed.run();
+    if (outcome.kind === 'answered' && !outcome.isFramed) {
+      const untilMs = performance.now() + UNFRAMED_RESPONSE_TTL_MS;
+      this.unframedUntilMs.set(plan.serviceId, untilMs);
+    }
     return {outcome, fields: routed.getLogFields()};
   }
 
+  private findRoute({
+    method,
+    host,
+    path,
+  }: Pick<CallerRequest, 'method' | 'host' | 'path'>): Route | undefined {
+    const {routes} = this.options.getConfiguration();
+    const queryStart = path.indexOf('?');
+    const pathOnly = queryStart < 0 ? path : path.slice(0, queryStart);
+    return findRoute(routes, {method, path: pathOnly, host});
+  }
+
   private logOutcome(
     request: CallerRequest,
     outcome: RelayOutcome,
@@ -123,7 +157,7 @@
     return {
       ruleId: rule.id,
       serviceId,
-      isIdempotent: rule.isIdempotent ?? IDEMPOTENT_METHODS.has(request.method),
+      isIdempotent: isIdempotent(rule, request.method),
       timeoutMs: rule.timeoutMs ?? DEFAULT_TIMEOUT_MS,
       objectiveMs: rule.latencyObjectiveMs ?? DEFAULT_OBJECTIVE_MS,
       maxAttempts: rule.maxAttempts ?? DEFAULT_MAX_ATTEMPTS,
@@ -147,3 +181,7 @@
     return roundRobin.next();
   }
 }
+
+function isIdempotent(rule: Route['rule'], method: string): boolean {
+  return rule.isIdempotent ?? IDEMPOTENT_METHODS.has(method);
+}
--- a/packages/relay/src/testing/caller_server_fixture.ts
+++ b/packages/relay/src/testing/caller_server_fixture.ts
@@ -46,9 +46,11 @@
   limits = DEFAULT_CALLER_LIMITS,
   loopDelayMs = 0,
   observer = OBSERVER,
+  mayOverlap: (path: string) => boolean = () => false,
 ): Promise<{server: CallerServer; port: number}> {
   const entry = {
     handle,
+    mayOverlap: ({path}: {readonly path: string}) => mayOverlap(path),
     options: {getConfiguration: () => ({state: {version: 1}})},
   } as unknown as RelayEntry;
   const server = new CallerServer({
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -86,6 +86,7 @@
  */
 export type ReplyKind =
   | 'answer'
+  | 'unframed'
   | 'failure'
   | 'busy'
   | 'draining'
@@ -178,6 +179,8 @@
     const refusal = {kind: 'refusal', callId, ...load} as const;
     const body = new Uint8Array();
     switch (kind) {
+      case 'unframed':
+        return {...answer, body, statusCode: 200, isFramed: false};
       case 'answer':
       case 'stall':
       case 'slow':
