Answer bytes that are no request only after the requests before them

A caller whose connection carried bytes that are no request, or half a head for too long, behind a request that was being served got status 400 or 408 in place of that request's response, and the connection was closed. 408 says that a request has not run; it had been passed on.

Cause: the runtime answers what it can't parse as long as no byte of a response has been written, whatever is in flight. Class: a connection is closed while work that was taken from it is owed.

The server now reads no further requests from such a connection, waits until the complete ones have their responses, and rejects then. A request whose own body is broken can't get a response and is not waited for.

Tests: "Pipelined requests have their responses although what follows is no request" (before: no response at all), "Pipelined requests are answered with status 400 if they are no requests".

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -1,6 +1,6 @@
 /** A caller's connection and the order of the requests on it. */
 
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** A request without its complete response, for the log. */
@@ -17,6 +17,7 @@
 }
 
 interface AdmittedRequest {
+  readonly request: IncomingMessage;
   readonly requestId: string;
   readonly admittedAtMs: number;
   readonly position: number;
@@ -47,6 +48,8 @@
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
   private isClosing = false;
+  /** Called once all complete requests have their responses. */
+  private handleAnswered: (() => void) | undefined;
   /** Resolves once the responses to all requests so far are known. */
   private allKnown: Promise<unknown> = Promise.resolve();
   /** Resolves once that is so for those that no other request may overlap. */
@@ -62,8 +65,12 @@
   }
 
   /** Admits the next request; `false` if the connection closes before it. */
-  admit(response: ServerResponse, requestId: string): boolean {
-    if (this.isClosing) return false;
+  admit(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+  ): boolean {
+    if (this.isClosing || this.handleAnswered) return false;
     this.firstResponse ??= response;
     this.lastResponse = response;
     this.requestCount += 1;
@@ -73,6 +80,7 @@
     this.allKnown = Promise.all([allKnown, known.whenSent]);
     this.exclusiveKnown = Promise.all([exclusiveKnown, overlap.whenSent]);
     this.unwritten.set(response, {
+      request,
       requestId,
       admittedAtMs: performance.now(),
       position: this.requestCount,
@@ -96,6 +104,17 @@
   remove(response: ServerResponse): void {
     this.endTurn(response);
     this.unwritten.delete(response);
+    this.checkAnswered();
+  }
+
+  /**
+   * Admits no further requests, and calls back once the complete ones have their
+   * responses. One that is incomplete can't get one.
+   */
+  stopReading(handleAnswered: () => void): void {
+    if (this.handleAnswered) return;
+    this.handleAnswered = handleAnswered;
+    this.checkAnswered();
   }
 
   /**
@@ -150,6 +169,14 @@
   announceClose(): void {
     this.isClosing = true;
   }
+
+  private checkAnswered(): void {
+    if (!this.handleAnswered) return;
+    for (const {request} of this.unwritten.values()) {
+      if (request.complete) return;
+    }
+    this.handleAnswered();
+  }
 }
 
 interface Signal {
--- a/packages/relay/src/caller_messages.ts
+++ b/packages/relay/src/caller_messages.ts
@@ -13,6 +13,12 @@
   statusCode: REQUEST_TOO_LARGE_STATUS,
 };
 
+const REJECTION_STATUS: ReadonlyMap<string, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+]);
+
 /** Result of reading a request. */
 export type ReadResult =
   | {readonly kind: 'whole'; readonly body: Uint8Array}
@@ -26,6 +32,12 @@
   readonly maxBodyBytes: number;
 }
 
+/** Formats the response to bytes that are no request, by the error of the parser. */
+export function formatRejection(errorCode: string): string {
+  const status = REJECTION_STATUS.get(errorCode) ?? '400 Bad Request';
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
+
 /** Returns the headers to forward, as alternating names and values. */
 export function filterHeaders(
   request: IncomingMessage,
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -64,6 +64,36 @@
     ]);
   });
 
+  // The answer to bytes that are no request was sent in place of the response of the
+  // request before them, which had been passed on, and closed the connection.
+  it('have their responses although what follows is no request', async () => {
+    const {server, port} = await listen(async ({path}) => {
+      await sleep(40);
+      return answer(path, true);
+    });
+    const socket = connect({host: HOST, port});
+    const received = readToEnd(socket);
+    socket.write(`${newHead('/1')}${newHead('/2')}no request\r\n\r\n`);
+    await sleep(20);
+    socket.write(newHead('/3'));
+    const text = await received;
+    server.stopAccepting();
+    expect(text.match(/response-id: \/\d/gi)).to.have.length(2);
+    expect(text.match(/HTTP\/1\.1 \d+/g)).to.deep.equal([
+      'HTTP/1.1 200',
+      'HTTP/1.1 200',
+      'HTTP/1.1 400',
+    ]);
+  });
+
+  it('are answered with status 400 if they are no requests', async () => {
+    const {server, port} = await listen(() => new Promise(() => undefined));
+    const socket = connect({host: HOST, port});
+    socket.write('no request\r\n\r\n');
+    expect(await readToEnd(socket)).to.match(/^HTTP\/1\.1 400 /);
+    server.stopAccepting();
+  });
+
   // To wait for the response before it would cost a request that may be repeated time
   // for a case that is rare. Those before and behind it must still not overlap.
   it('overlap only if all of them may', async () => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -3,13 +3,17 @@
 import {once} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {Socket} from 'node:net';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerLimitsRecord} from '@cassiaknot/inventory';
 import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
-import {filterHeaders, readRequest} from './caller_messages.js';
+import {
+  filterHeaders,
+  formatRejection,
+  readRequest,
+} from './caller_messages.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
@@ -80,6 +84,9 @@
       this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
+    this.server.on('clientError', (error, socket) =>
+      this.handleInvalidRequest(error, socket),
+    );
     this.server.requestTimeout = 0;
     this.applyLimits();
   }
@@ -178,6 +185,26 @@
     observer.log('warn', COMPONENT, 'cut', {...request});
   }
 
+  // The runtime would respond in place of a request that is still in flight.
+  private handleInvalidRequest(error: Error, socket: Duplex): void {
+    const connection = this.findConnection(socket);
+    if (!connection || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const code = String(Reflect.get(error, 'code'));
+    connection.stopReading(() => {
+      if (!socket.writable) return;
+      this.options.observer.log('info', COMPONENT, 'rejected', {code});
+      socket.write(formatRejection(code));
+      connection.socket.destroySoon();
+    });
+  }
+
+  private findConnection(socket: Duplex): CallerConnection | undefined {
+    return socket instanceof Socket ? this.connections.get(socket) : undefined;
+  }
+
   private async serve(
     request: IncomingMessage,
     response: ServerResponse,
@@ -187,7 +214,7 @@
     const {requestId} = this.options.headerCodec.parseCallerHeaders(
       request.headers,
     );
-    if (connection?.admit(response, requestId) !== true) {
+    if (connection?.admit(request, response, requestId) !== true) {
       this.options.observer.count('refused', 'closed');
       return;
     }
