Read a closed connection until its peer has closed too

A caller that sent a further request behind a long response lost the end of that response: where the response closed the connection, 5.4 of 8 MiB arrived, and then a reset (3 of 3 runs of the test, without the change).

Cause: the runtime closes a connection as soon as the last response has been handed to the operating system. Bytes that arrive afterwards make that reset the connection and drop what it has not sent. Class: a connection is closed while something is still owed on it.

The server now ends its own side and reads on, for at most a second, until the caller has closed its side. Such a connection is no longer idle, so that a stop does not close it.

Test: "Pipelined requests do not reset a long response that closes the connection".

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -57,10 +57,15 @@
 
   constructor(readonly socket: Socket) {}
 
-  /** Whether all requests have their responses, and no part of another has arrived. */
+  /**
+   * Whether it is open for further requests, all requests have their responses, and no
+   * part of another has arrived.
+   */
   isIdle(): boolean {
     return (
-      this.unwritten.size === 0 && this.socket.bytesRead === this.readBytes
+      !this.isClosing &&
+      this.unwritten.size === 0 &&
+      this.socket.bytesRead === this.readBytes
     );
   }
 
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -3,6 +3,7 @@
 import {connect} from 'node:net';
 import {expect} from 'chai';
 import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
+import type {RelayOutcome} from './outcome.js';
 import {HOST, answer, listen} from './testing/caller_server_fixture.js';
 
 const newHead = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
@@ -94,6 +95,31 @@
     server.stopAccepting();
   });
 
+  // The connection was closed behind a long response while a request that followed it
+  // was on its way; that reset it, and the rest of the response was lost.
+  it('do not reset a long response that closes the connection', async () => {
+    const bodyBytes = 8 * 1024 * 1024;
+    const body = Buffer.alloc(bodyBytes, 'x');
+    const {server, port} = await listen(() =>
+      Promise.resolve({...answer('long', false), body} as RelayOutcome),
+    );
+    const socket = connect({host: HOST, port});
+    socket.write(newHead('/1'));
+    let receivedBytes = 0;
+    let error: Error | undefined;
+    socket.on('error', cause => (error = cause));
+    socket.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.byteLength;
+      socket.pause();
+      socket.write(newHead('/2'));
+      setTimeout(() => socket.resume(), 2);
+    });
+    await new Promise(resolve => socket.once('close', resolve));
+    server.stopAccepting();
+    expect(error).to.equal(undefined);
+    expect(receivedBytes).to.be.above(bodyBytes);
+  });
+
   // To wait for the response before it would cost a request that may be repeated time
   // for a case that is rare. Those before and behind it must still not overlap.
   it('overlap only if all of them may', async () => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -47,6 +47,8 @@
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Delay of the event loop from which on callers may have left unnoticed. */
 const LATE_LOOP_MS = 100;
+/** Time for which a closed connection is still read. */
+const LINGER_TIMEOUT_MS = 1_000;
 /** Duration of a poll from which on more may have arrived meanwhile. */
 const LATE_POLL_MS = 20;
 /** More than the connections that wait to be accepted. */
@@ -81,6 +83,7 @@
     );
     this.server.on('connection', socket => {
       this.arrivalCount += 1;
+      closeAfterPeer(socket);
       this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
@@ -216,6 +219,7 @@
     );
     if (connection?.admit(request, response, requestId) !== true) {
       this.options.observer.count('refused', 'closed');
+      request.resume();
       return;
     }
     const receivedAtMs = performance.now();
@@ -248,6 +252,7 @@
     if (!(await connection.whenTurn(response, mayOverlap))) {
       this.options.observer.count('refused', 'closed');
       connection.remove(response);
+      request.resume();
       return;
     }
     if (result.kind === 'too-large') {
@@ -391,6 +396,19 @@
   }
 }
 
+/**
+ * Keeps reading after the last response until the peer has closed its side. A
+ * connection that is closed while bytes arrive is reset, and what the peer has not
+ * received yet is lost.
+ */
+function closeAfterPeer(socket: Socket): void {
+  socket.destroySoon = () => {
+    if (socket.writable) socket.end();
+    const timer = setTimeout(() => socket.destroy(), LINGER_TIMEOUT_MS);
+    socket.once('close', () => clearTimeout(timer));
+  };
+}
+
 // The first callback runs after the current poll for I/O, the second after a
 // complete one.
 async function pollSockets(): Promise<void> {
