Start no run that a stopping gate may not complete

Class: work is accepted without regard to the time that is left.

Cause: until readiness had failed twice the gate took offers of any length, though it ends at the end of its grace period; the limit on the time of a response held for callers only.

From the SIGTERM on the gate refuses, as not run, non-idempotent offers whose deadline lies beyond its end, so that their entries offer them to another gate at once. Idempotent ones are repeated elsewhere anyway.

--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -6,8 +6,11 @@
 
 /** Operations of the daemon that a shutdown calls. */
 export interface ShutdownHooks {
-  /** Announces to the other members that this one is about to stop. */
-  beginDrain(): void;
+  /**
+   * Announces to the other members that this one is about to stop. Requests that may
+   * run for longer than until the given time are not started any more.
+   */
+  beginDrain(serveUntilMs: number): void;
   /** Refuses new requests for the target. */
   closeGate(): void;
   /**
@@ -60,10 +63,11 @@
   const startMs = performance.now();
   const getElapsedMs = () => performance.now() - startMs;
   const deadlineMs = gracePeriodMs - FINAL_WRITE_RESERVE_MS;
-  hooks.beginDrain();
+  const serveUntilMs = startMs + deadlineMs - LAST_RESPONSE_RESERVE_MS;
+  hooks.beginDrain(serveUntilMs);
   await sleep(READINESS_PROPAGATION_MS);
   hooks.closeGate();
-  hooks.drainCallerConnections(startMs + deadlineMs - LAST_RESPONSE_RESERVE_MS);
+  hooks.drainCallerConnections(serveUntilMs);
   // Keeps running to refuse the offers that entries send before they learn that
   // the gate has closed.
   await sleepAndRead(hooks, IDLE_MS);
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -182,7 +182,10 @@
 
   private getShutdownHooks(): ShutdownHooks {
     return {
-      beginDrain: () => this.coordinator.beginDrain(),
+      beginDrain: serveUntilMs => {
+        this.coordinator.beginDrain();
+        this.gate.limitRuns(serveUntilMs);
+      },
       closeGate: () => {
         this.logStopStep('gate-closed');
         this.gate.stopAdmission();
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -20,7 +20,7 @@
 import {CrashSuspects} from './crash_suspects.js';
 import type {EntryConnectionOptions} from './entry_connection.js';
 import {EntryConnection} from './entry_connection.js';
-import type {LoggedCall, LoggedRefusal} from './gate_log.js';
+import type {LoggedRefusal} from './gate_log.js';
 import {GateLog} from './gate_log.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
@@ -29,6 +29,8 @@
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import {isFramed} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
+import {StopLimit} from './stop_limit.js';
+import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
@@ -37,29 +39,6 @@
   readonly crashTracker: CrashTracker;
 }
 
-/** An offer as it reached the gate. */
-interface ReceivedOffer {
-  readonly link: RelayLink;
-  readonly offer: RelayFrameOf<'offer'>;
-  readonly session: RelayTargetSession | undefined;
-  readonly transitMs: number;
-}
-
-type LoadFields = Pick<
-  RelayFrameOf<'refusal'>,
-  'waitMs' | 'runMs' | 'transitMs'
->;
-
-/** A request offered by an entry that is queued or running. */
-interface Call extends LoggedCall {
-  readonly link: RelayLink;
-  readonly fingerprint: Fingerprint;
-  readonly controller: AbortController;
-  readonly job: Job;
-  isRunning: boolean;
-  isSettled: boolean;
-}
-
 /** Value of `runMs` in frames while the run time of the route is unknown. */
 const UNKNOWN_RUN_MS = -1;
 
@@ -69,6 +48,7 @@
   private readonly crashSuspects: CrashSuspects;
   private readonly log: GateLog;
   private isStopping = false;
+  private readonly stopLimit = new StopLimit();
   private callCount = 0;
 
   constructor(private readonly options: RelayGateOptions) {
@@ -94,6 +74,11 @@
     for (const link of this.connections.keys()) link.send(state);
   }
 
+  /** Starts no run that can't be repeated and may outlast the given time. */
+  limitRuns(serveUntilMs: number): void {
+    this.stopLimit.set(serveUntilMs);
+  }
+
   /** Stops admitting requests; queued and running requests continue. */
   stopAdmission(): void {
     this.isStopping = true;
@@ -158,6 +143,10 @@
       this.refuseOffer(received, 'deadline');
       return;
     }
+    if (this.stopLimit.mayBeExceededBy(offer, transitMs)) {
+      this.refuseOffer(received, 'stopping');
+      return;
+    }
     const {callerServiceId, method, path, body} = offer;
     const fingerprint = computeFingerprint(
       offer.serviceId,
