Believe a refusal only where it can't belong to another request

Callers of requests that ran were told `not run`, or such a request ran at a second endpoint too.

Cause: refusals of endpoints bear no id, and classifyResponse believed any of them. The connection stayed in use after a response without an id.

Change: a refusal without the id is believed only as the first final response of its connection, else it is foreign (outcome unknown). Once the head of a response without the id has been read, its connection is closed: ResponseReader sees the head in the callback of the parser, as the promise of dispatcher.request comes after a response without a body has completed. It closes the socket, as undici opens a new connection after an aborted request; cancelled requests take the same path. The line foreign-response and the counter target-refusal tell what was not believed. An empty id identifies nothing.

The existing tests got the new field of TargetRequest, and the one of classifyResponse its new form; their assertions stay.

--- a/packages/relay/src/endless_response.test.ts
+++ b/packages/relay/src/endless_response.test.ts
@@ -109,6 +109,7 @@
             body: new Uint8Array(),
             signal: AbortSignal.timeout(DEADLINE_MS),
             usesFreshConnection: false,
+            classify: () => ({kind: 'answer'}),
           }),
         ),
       );
@@ -134,6 +135,7 @@
       body: new Uint8Array(),
       signal: AbortSignal.timeout(DEADLINE_MS),
       usesFreshConnection: false,
+      classify: () => ({kind: 'answer'}),
     });
     await client.close();
     server.close();
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -249,6 +249,8 @@
       signal: controller.signal,
       usesFreshConnection:
         !offer.isIdempotent && session.hasRecentForeignResponse(),
+      classify: head =>
+        this.options.headerCodec.classifyResponse(offer.requestId, head),
     });
     clearTimeout(timer);
     const hasResponse = exchange.kind === 'response';
@@ -292,13 +294,8 @@
     response: Extract<TargetExchange, {kind: 'response'}>,
   ): void {
     const {offer, session} = call;
-    const {statusCode, headers, body} = response;
+    const {statusCode, headers, body, classification} = response;
     const {headerCodec, crashTracker, observer} = this.options;
-    const classification = headerCodec.classifyResponse(
-      offer.requestId,
-      statusCode,
-      headers,
-    );
     switch (classification.kind) {
       case 'answer':
         crashTracker.clear(call.fingerprint);
@@ -315,12 +312,14 @@
         });
         return;
       case 'not-run':
+        this.log.countTargetRefusal(classification);
         if (classification.isOtherInstance) session.markMisdirected();
         else this.applyReport(session, headers);
         this.settleRefusal(call, 'target-refused', true);
         return;
       case 'foreign':
         session.recordForeignResponse();
+        this.log.logForeignResponse(call, response, classification.isRefusal);
         observer.count('target-loss', 'answer-foreign');
         this.settleLoss(call, 'answer-foreign');
         return;
--- a/packages/relay/src/gate_log.ts
+++ b/packages/relay/src/gate_log.ts
@@ -1,6 +1,7 @@
 /** Log lines and counters of the decisions of a gate. */
 
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
+import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {RelayObserver} from './observer.js';
 import type {LossReason, RefusalReason} from './outcome.js';
 import type {RelayTargetSession} from './target_session.js';
@@ -73,6 +74,30 @@
     });
   }
 
+  /** Counts a refusal by the target that answers the request. */
+  countTargetRefusal(
+    refusal: Extract<ResponseClassification, {kind: 'not-run'}>,
+  ): void {
+    const reason = refusal.isOtherInstance ? 'other-instance' : 'not-run';
+    this.observer.count('target-refusal', reason);
+  }
+
+  /** Logs a response that is not known to answer its request. */
+  logForeignResponse(
+    call: LoggedCall,
+    head: ResponseHead,
+    isRefusal: boolean,
+  ): void {
+    if (isRefusal) this.observer.count('target-refusal', 'foreign');
+    this.observer.log('warn', COMPONENT, 'foreign-response', {
+      requestId: call.offer.requestId,
+      statusCode: head.statusCode,
+      isRefusal,
+      precedingResponseCount: head.precedingResponseCount,
+      targetId: call.session.getAnnouncement().targetId,
+    });
+  }
+
   logLoss(call: LoggedCall, reason: LossReason): void {
     const {offer, session, receivedAtMs} = call;
     this.observer.log('warn', COMPONENT, 'lost', {
--- a/packages/relay/src/header_codec.ts
+++ b/packages/relay/src/header_codec.ts
@@ -27,9 +27,23 @@
    * The target states that it did not run the request; `isOtherInstance` if the
    * reason is that the request named another target id.
    */
-  | {readonly kind: 'not-run'; readonly isOtherInstance: boolean}
+  | {
+      readonly kind: 'not-run';
+      readonly isOtherInstance: boolean;
+      /** Whether the response bears the id of the request. */
+      readonly isIdentified: boolean;
+    }
   /** Not known to answer this request: possibly left over from another one. */
-  | {readonly kind: 'foreign'};
+  | {readonly kind: 'foreign'; readonly isRefusal: boolean};
+
+/** The head of a final response, and its place on the connection. */
+export interface ResponseHead {
+  readonly statusCode: number;
+  /** Headers by lower-case name. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** Number of responses that the connection carried before this one. */
+  readonly precedingResponseCount: number;
+}
 
 /** What a target says of itself in a response. */
 export interface TargetReport {
@@ -52,8 +66,7 @@
   ): TargetReport;
   classifyResponse(
     requestId: string,
-    statusCode: number,
-    headers: Readonly<Record<string, string | string[] | undefined>>,
+    head: ResponseHead,
   ): ResponseClassification;
 }
 
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -32,6 +32,7 @@
   | 'offer-refused'
   | 'target-loss'
   | 'withdrawn'
+  | 'target-refusal'
   | 'target-report'
   | 'announcement';
 
--- a/packages/relay/src/target_client.test.ts
+++ b/packages/relay/src/target_client.test.ts
@@ -33,6 +33,7 @@
     body: new Uint8Array(),
     signal: new AbortController().signal,
     usesFreshConnection: false,
+    classify: () => ({kind: 'answer'}),
   });
   await client.close();
   server.close();
@@ -79,6 +80,7 @@
       body: new Uint8Array(),
       signal: new AbortController().signal,
       usesFreshConnection: true,
+      classify: () => ({kind: 'answer'}),
     });
     expect(exchange).to.deep.equal({kind: 'unconnected', isRefused: true});
     await client.close();
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -3,14 +3,16 @@
 import {connect} from 'node:net';
 import {splitAddress} from '@cassiaknot/peer-protocol';
 import type {Dispatcher} from 'undici';
-import {Client, Pool, buildConnector} from 'undici';
+import {Pool, buildConnector} from 'undici';
 import {
-  RESPONSE_MEMORY_LIMITS,
   SPARE_TARGET_CONNECTIONS,
   TARGET_CONNECT_TIMEOUT_MS,
 } from './constants.js';
+import type {CountingClientOptions} from './counting_client.js';
+import {CountingClient} from './counting_client.js';
+import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {LossReason} from './outcome.js';
-import {ResponseMemory} from './response_memory.js';
+import {ResponseReader, isErrorWith} from './response_reader.js';
 
 /** A request as sent to the target. */
 export interface TargetRequest {
@@ -24,6 +26,11 @@
   readonly signal: AbortSignal;
   /** Whether to use a new connection that carries no other request. */
   readonly usesFreshConnection: boolean;
+  /**
+   * Called with the head of the response. Unless the response bears the id of the
+   * request, it is reported without its body, and its connection is closed.
+   */
+  classify(head: ResponseHead): ResponseClassification;
 }
 
 /** Response headers by lower-case name. */
@@ -33,12 +40,11 @@
 
 /** Result of sending a request. */
 export type TargetExchange =
-  | {
+  | (ResponseHead & {
       readonly kind: 'response';
-      readonly statusCode: number;
-      readonly headers: ResponseHeaders;
+      readonly classification: ResponseClassification;
       readonly body: Uint8Array;
-    }
+    })
   /** The connection could not be opened, so no byte was sent. */
   | {readonly kind: 'unconnected'; readonly isRefused: boolean}
   | {readonly kind: 'lost'; readonly reason: LossReason};
@@ -69,7 +75,7 @@
 export class HttpTargetClient implements RelayTargetClient {
   private readonly pool: Pool;
   private readonly origin: string;
-  private readonly clientOptions: Client.Options;
+  private readonly clientOptions: CountingClientOptions;
   private resetCount = 0;
 
   constructor(
@@ -81,12 +87,13 @@
     this.pool = new Pool(this.origin, {
       ...this.clientOptions,
       connections: slots + SPARE_TARGET_CONNECTIONS,
+      factory: origin => new CountingClient(origin, this.clientOptions),
     });
   }
 
   async send(request: TargetRequest): Promise<TargetExchange> {
     if (!request.usesFreshConnection) return this.exchange(this.pool, request);
-    const client = new Client(this.origin, this.clientOptions);
+    const client = new CountingClient(this.origin, this.clientOptions);
     const result = await this.exchange(client, request);
     void client.destroy();
     return result;
@@ -116,7 +123,7 @@
     request: TargetRequest,
   ): Promise<TargetExchange> {
     const resetsBefore = this.resetCount;
-    const result = await exchange(dispatcher, request);
+    const result = await new ResponseReader(request).exchange(dispatcher);
     if (result.kind !== 'response' || isFramed(result.headers)) return result;
     if (this.resetCount === resetsBefore) return result;
     return {kind: 'lost', reason: 'answer-cut'};
@@ -152,77 +159,3 @@
   keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
   keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
 } as const;
-
-/** Responses of all targets that this process reads. */
-const RESPONSE_MEMORY = new ResponseMemory(RESPONSE_MEMORY_LIMITS);
-
-async function exchange(
-  dispatcher: Dispatcher,
-  request: TargetRequest,
-): Promise<TargetExchange> {
-  let hasHeaders = false;
-  try {
-    const response = await dispatcher.request({
-      method: request.method,
-      path: request.path,
-      headers: [...request.headers],
-      body: request.body.byteLength > 0 ? request.body : null,
-      signal: request.signal,
-    });
-    hasHeaders = true;
-    const {statusCode, headers} = response;
-    const body = await readBody(response.body);
-    if (!body) return {kind: 'lost', reason: 'answer-too-large'};
-    return {kind: 'response', statusCode, headers, body};
-  } catch (error) {
-    return classifyError(error, request.signal, hasHeaders);
-  }
-}
-
-async function readBody(
-  stream: AsyncIterable<Uint8Array> & {destroy(): unknown},
-): Promise<Uint8Array | undefined> {
-  const buffer = RESPONSE_MEMORY.open(() => stream.destroy());
-  try {
-    for await (const chunk of stream) {
-      buffer.append(chunk);
-      if (buffer.isEvicted()) return undefined;
-    }
-    return buffer.isEvicted() ? undefined : buffer.take();
-  } catch (error) {
-    // Destroying the stream of an evicted response also ends the iteration.
-    if (buffer.isEvicted()) return undefined;
-    throw error;
-  } finally {
-    buffer.release();
-  }
-}
-
-function classifyError(
-  error: unknown,
-  signal: AbortSignal,
-  hasHeaders: boolean,
-): TargetExchange {
-  if (signal.aborted) {
-    return {kind: 'lost', reason: toAbortReason(signal.reason)};
-  }
-  const isConnectError = isErrorWith(error, 'syscall', 'connect');
-  if (isConnectError || isErrorWith(error, 'code', CONNECT_TIMEOUT_CODE)) {
-    const isRefused = isErrorWith(error, 'code', 'ECONNREFUSED');
-    return {kind: 'unconnected', isRefused};
-  }
-  return {kind: 'lost', reason: hasHeaders ? 'answer-cut' : 'target-lost'};
-}
-
-const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
-
-function isErrorWith(error: unknown, field: string, value: string): boolean {
-  if (!(error instanceof Error)) return false;
-  return Reflect.get(error, field) === value;
-}
-
-function toAbortReason(reason: unknown): LossReason {
-  return reason === 'timeout' || reason === 'target-silent'
-    ? reason
-    : 'cancelled';
-}
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -99,12 +99,9 @@
     const {runMs, headers} = response;
     return new Promise(resolve => {
       const body = new Uint8Array();
-      const answer = {
-        kind: 'response',
-        statusCode: 200,
-        headers,
-        body,
-      } as const;
+      const head = {statusCode: 200, headers, precedingResponseCount: 0};
+      const classification = request.classify(head);
+      const answer = {kind: 'response', ...head, classification, body} as const;
       setTimeout(() => resolve(answer), runMs);
     });
   }
--- a/packages/test-support/src/load_model/modelled_target.ts
+++ b/packages/test-support/src/load_model/modelled_target.ts
@@ -36,12 +36,13 @@
     const isCompleted = await this.simulateWork(kind, request.signal);
     if (!isCompleted) return {kind: 'lost', reason: 'cancelled'};
     const hasSucceeded = await this.makeDownstreamCalls(kind, deadlineAtMs);
-    return {
-      kind: 'response',
+    const head = {
       statusCode: hasSucceeded ? 200 : FAILURE_STATUS,
       headers: {'content-length': '0'},
-      body: EMPTY_BODY,
+      precedingResponseCount: 0,
     };
+    const classification = request.classify(head);
+    return {kind: 'response', ...head, classification, body: EMPTY_BODY};
   }
 
   probe(): Promise<boolean> {
