Test that no response that ends early is taken as complete

Other operators report clients that got a 200 with an empty or short body after an endpoint had stopped in the middle of its answer's head and closed.

The property ends a response after any byte, by FIN and by reset: in its head (with and without a length, chunked, with Connection: close, of HTTP/1.0), in its body, chunk lines and trailers, behind 100, 102 and 103, to GET and HEAD, on a new connection, on one kept after a whole response, and on one that the client opens for this request only.

--- /dev/null
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -0,0 +1,110 @@
+import {setImmediate} from 'node:timers/promises';
+import {HttpTargetClient as RelayTargetClient} from '@cassiaknot/relay';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {cutResponses} from './targets/cut_responses.js';
+import {RawTarget} from './targets/raw_target.js';
+
+const SEED = 20261205;
+const RUN_COUNT = 1_500;
+const TIMEOUT_MS = 5_000;
+const EMPTY_BODY = Buffer.alloc(0);
+
+type Method = 'GET' | 'HEAD';
+
+/** Sends one request and returns the kind of its outcome. */
+interface Caller {
+  send(method: Method): Promise<string>;
+  close(): Promise<void>;
+}
+
+type NewCaller = (address: string) => Caller;
+
+function newRelayCaller(address: string, usesFreshConnection: boolean): Caller {
+  const client = new RelayTargetClient(address, 1);
+  return {
+    async send(method) {
+      const exchange = await client.send({
+        method,
+        path: '/',
+        headers: ['Host', 'h'],
+        body: EMPTY_BODY,
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+        usesFreshConnection,
+      });
+      return exchange.kind;
+    },
+    close: () => client.close(),
+  };
+}
+
+interface Hop {
+  readonly newCaller: NewCaller;
+  /** Header fields of the responses on this hop. */
+  readonly fields: readonly string[];
+  /** Outcome of a request whose response was cut. */
+  readonly expected: string;
+  readonly keepsConnections: boolean;
+}
+
+const FIELDS = ['Request-Id: r'];
+const HOPS: Readonly<Record<string, Hop>> = {
+  'relay to a target': {
+    newCaller: address => newRelayCaller(address, false),
+    fields: FIELDS,
+    expected: 'lost',
+    keepsConnections: true,
+  },
+  'relay to a target on a fresh connection': {
+    newCaller: address => newRelayCaller(address, true),
+    fields: FIELDS,
+    expected: 'lost',
+    keepsConnections: false,
+  },
+};
+
+describe('Cut responses', () => {
+  let target: RawTarget;
+
+  beforeEach(async () => {
+    target = new RawTarget();
+    await target.start();
+  });
+
+  afterEach(() => target.stop());
+
+  for (const [name, hop] of Object.entries(HOPS)) {
+    const {newCaller, fields, expected, keepsConnections} = hop;
+    const wholeResponse = {
+      bytes: ['HTTP/1.1 200 OK', ...fields, 'Content-Length: 2', '', 'ok'].join(
+        '\r\n',
+      ),
+      end: 'open',
+    } as const;
+
+    // A caller would get a short or empty body that looks complete.
+    it(`takes no response that ends early as complete: ${name}`, async () => {
+      await fc.assert(
+        fc.asyncProperty(
+          cutResponses(fields),
+          fc.boolean(),
+          async (cut, isKept) => {
+            const caller = newCaller(target.getAddress());
+            target.connectionCount = 0;
+            target.script(wholeResponse, cut);
+            if (isKept) {
+              await caller.send('GET');
+              // A pool reuses a connection from the next turn on.
+              await setImmediate();
+            } else target.script(cut);
+            const kind = await caller.send(cut.method);
+            await caller.close();
+            if (keepsConnections) expect(target.connectionCount).to.equal(1);
+            expect(kind).to.equal(expected);
+          },
+        ),
+        {seed: SEED, numRuns: RUN_COUNT},
+      );
+    });
+  }
+});
