Treat a reset as the end of a response only if it was complete (proxy)

Callers of cassiaknotd got a short or empty body with status 200 and a length that fitted it when a target reset its connection within a response without a length. The library takes a reset as the end of such a response, and so did the target client of packages/proxy; that of packages/relay has its own check.

Seen red: the property over all places of a cut after 24 cases (a reset behind the head of a response without a length: "expected 'answered' to equal 'unknown'"); the streamed part of a long body: "expected 'whole' to equal 'cut'".

Each connection now records a reset in the request that it carries, before the library ends the response.

--- a/packages/proxy/src/target_client.ts
+++ b/packages/proxy/src/target_client.ts
@@ -1,11 +1,16 @@
 /** Sends requests to the local target of this daemon. */
 
-import type {NotRunReason, TargetResponse, UnknownReason} from './outcome.js';
-import {Pool} from 'undici';
+import type {Readable} from 'node:stream';
+import {Transform, pipeline} from 'node:stream';
+import type {Pool} from 'undici';
 import {bufferBody} from './bodies.js';
-import {CONNECT_TIMEOUT_MS, MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
+import {MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
 import type {Deadline} from './deadline.js';
+import {isFramed} from './headers.js';
 import {isConnectFailure} from './network_errors.js';
+import type {NotRunReason, TargetResponse, UnknownReason} from './outcome.js';
+import {unknown} from './outcome.js';
+import {ConnectionUse, newConnectionPool} from './target_connection.js';
 
 /** A request to be sent to a target. */
 export interface TargetRequest {
@@ -47,18 +52,13 @@
   private readonly pool: Pool;
 
   constructor(options: TargetClientOptions) {
-    this.pool = new Pool(options.origin, {
-      connections: options.connections,
-      pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this.pool = newConnectionPool(options.origin, options.connections);
   }
 
   async send(request: TargetRequest): Promise<TargetOutcome> {
     const startedAtMs = performance.now();
     const {deadline} = request;
+    const use = new ConnectionUse();
     try {
       const response = await this.pool.request({
         method: request.method,
@@ -66,17 +66,23 @@
         headers: [...request.headers],
         body: request.body.byteLength > 0 ? request.body : null,
         signal: deadline.cancellation,
+        opaque: use,
       });
-      const buffered = await bufferBody(
+      const {statusCode, headers} = response;
+      const {body, remainingBody} = await bufferBody(
         response.body,
         MAX_BUFFERED_RESPONSE_BYTES,
       );
-      const targetTimeUs = (performance.now() - startedAtMs) * 1_000;
-      const {statusCode, headers} = response;
+      if (!isFramed(headers) && use.wasReset()) return unknown('answer-cut');
       return {
         kind: 'answered',
-        response: {statusCode, headers, ...buffered},
-        targetTimeUs,
+        response: {
+          statusCode,
+          headers,
+          body,
+          remainingBody: remainingBody && failOnReset(remainingBody, use),
+        },
+        targetTimeUs: (performance.now() - startedAtMs) * 1_000,
       };
     } catch (error) {
       return classifyFailure(error, deadline);
@@ -88,6 +94,17 @@
   }
 }
 
+// The stream of a response without a length also ends when its connection is reset.
+function failOnReset(body: Readable, use: ConnectionUse): Readable {
+  const checkedBody = new Transform({
+    transform: (chunk, _encoding, callback) => callback(null, chunk),
+    flush: callback =>
+      callback(use.wasReset() ? new Error('connection reset') : null),
+  });
+  // Errors reach the reader of the checked body.
+  return pipeline(body, checkedBody, () => undefined);
+}
+
 function classifyFailure(error: unknown, deadline: Deadline): TargetOutcome {
   if (isConnectFailure(error)) {
     return {kind: 'not-run', reason: 'connect-failed'};
--- /dev/null
+++ b/packages/proxy/src/target_connection.ts
@@ -0,0 +1,65 @@
+/** Connections to a target, and what is known of them when a response arrives. */
+
+import type {Dispatcher} from 'undici';
+import {Client, Pool, buildConnector} from 'undici';
+import {CONNECT_TIMEOUT_MS} from './constants.js';
+
+/** What happened to the connection that carries a request. */
+export class ConnectionUse {
+  private isReset = false;
+
+  recordReset(): void {
+    this.isReset = true;
+  }
+
+  /** Whether the connection was reset before the response was complete. */
+  wasReset(): boolean {
+    return this.isReset;
+  }
+}
+
+/**
+ * Creates a pool whose connections carry one request at a time and record in the
+ * {@link ConnectionUse}, passed as `opaque`, what happens to them.
+ */
+export function newConnectionPool(origin: string, connections: number): Pool {
+  return new Pool(origin, {
+    connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    factory: (url, options) => new TargetConnection(url, options),
+  });
+}
+
+/** One connection, which is opened again when it is needed after it was closed. */
+class TargetConnection extends Client {
+  private use: ConnectionUse | undefined;
+
+  constructor(origin: URL, options: object) {
+    const connector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+    super(origin, {
+      ...options,
+      connect: (connectOptions, callback) => {
+        connector(connectOptions, (...result) => {
+          // This listener runs before that of undici, which takes a reset as the end
+          // of a response without a length.
+          result[1]?.on('error', error => {
+            if ('syscall' in error) this.use?.recordReset();
+          });
+          callback(...result);
+        });
+      },
+    });
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    if ('opaque' in options && options.opaque instanceof ConnectionUse) {
+      this.use = options.opaque;
+    }
+    return super.dispatch(options, handler);
+  }
+}
--- a/packages/test-support/src/cut_responses.test.ts
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -1,4 +1,9 @@
 import {setImmediate} from 'node:timers/promises';
+import {
+  Deadline,
+  MAX_BUFFERED_RESPONSE_BYTES,
+  HttpTargetClient as ProxyTargetClient,
+} from '@cassiaknot/proxy';
 import {HttpTargetClient as RelayTargetClient} from '@cassiaknot/relay';
 import {expect} from 'chai';
 import fc from 'fast-check';
@@ -9,6 +14,9 @@
 const RUN_COUNT = 1_500;
 const TIMEOUT_MS = 5_000;
 const EMPTY_BODY = Buffer.alloc(0);
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\n';
+/** Longer than what is buffered before a response is passed on. */
+const LONG_BODY = 'x'.repeat(4 * MAX_BUFFERED_RESPONSE_BYTES);
 
 type Method = 'GET' | 'HEAD';
 
@@ -38,6 +46,26 @@
   };
 }
 
+function newProxyCaller(address: string): Caller {
+  const origin = `http://${address}`;
+  const client = new ProxyTargetClient({origin, connections: 1});
+  return {
+    async send(method) {
+      const deadline = new Deadline(TIMEOUT_MS);
+      const outcome = await client.send({
+        method,
+        path: '/',
+        headers: ['Host', 'h'],
+        body: EMPTY_BODY,
+        deadline,
+      });
+      deadline.dispose();
+      return outcome.kind;
+    },
+    close: () => client.close(),
+  };
+}
+
 interface Hop {
   readonly newCaller: NewCaller;
   /** Header fields of the responses on this hop. */
@@ -61,6 +89,12 @@
     expected: 'lost',
     keepsConnections: false,
   },
+  'proxy to a target': {
+    newCaller: newProxyCaller,
+    fields: FIELDS,
+    expected: 'unknown',
+    keepsConnections: true,
+  },
 };
 
 describe('Cut responses', () => {
@@ -107,4 +141,41 @@
       );
     });
   }
+
+  // The part of a long body that is streamed ended without an error at a reset.
+  for (const [end, expected] of [
+    ['fin', 'whole'],
+    ['reset', 'cut'],
+  ] as const) {
+    it(`streams a long body without a length up to its end: ${end}`, async () => {
+      target.script({bytes: `${UNFRAMED_HEAD}${LONG_BODY}`, end});
+      const origin = `http://${target.getAddress()}`;
+      const client = new ProxyTargetClient({origin, connections: 1});
+      const deadline = new Deadline(TIMEOUT_MS);
+      const outcome = await client.send({
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'h'],
+        body: EMPTY_BODY,
+        deadline,
+      });
+      expect(outcome.kind).to.equal('answered');
+      if (outcome.kind !== 'answered') return;
+      const {body, remainingBody} = outcome.response;
+      let size = body.byteLength;
+      let result = 'whole';
+      try {
+        for await (const chunk of (remainingBody ??
+          []) as AsyncIterable<Buffer>) {
+          size += chunk.byteLength;
+        }
+      } catch {
+        result = 'cut';
+      }
+      deadline.dispose();
+      await client.close();
+      expect(result).to.equal(expected);
+      if (end === 'fin') expect(size).to.equal(LONG_BODY.length);
+    });
+  }
 });
