Accept only framed responses from gates

Where a gate's connection was reset behind the head of a response without a length, an entry of cassiaknotd took the response as complete: an answer with an empty or short body, or a refusal. Gates frame every body, so only broken bytes look like that; this is a second line of defence.

Seen red: "expected 'answered' to equal 'unknown'" after 24 cases, and for a refusal "expected 'not-run' to equal 'unknown'" after 161. An unframed response that may have a body now counts as a lost gate. 2 x 1,500 cases hold.

--- a/packages/proxy/src/gate_client.ts
+++ b/packages/proxy/src/gate_client.ts
@@ -22,6 +22,7 @@
   SUSPECT_HEADER,
   TARGET_TIME_HEADER,
   TIMEOUT_HEADER,
+  isFramed,
   readNumberHeader,
 } from './headers.js';
 import type {HeaderFields} from './headers.js';
@@ -128,11 +129,16 @@
       body: call.body.byteLength > 0 ? call.body : null,
       signal,
     });
+    const {statusCode, headers} = response;
     const buffered = await bufferBody(
       response.body,
       MAX_BUFFERED_RESPONSE_BYTES,
     );
-    const {statusCode, headers} = response;
+    // Gates frame all bodies; without a length, a cut response looks complete.
+    if (hasBody(call.method, statusCode) && !isFramed(headers)) {
+      buffered.remainingBody?.destroy();
+      return {outcome: unknown('gate-lost'), load: undefined};
+    }
     const outcome = readOutcome({statusCode, headers, ...buffered});
     return {outcome, load: readNumberHeader(headers[LOAD_HEADER], 0, MAX_LOAD)};
   }
@@ -155,6 +161,10 @@
   return headers;
 }
 
+function hasBody(method: string, statusCode: number): boolean {
+  return method !== 'HEAD' && statusCode !== 204 && statusCode !== 304;
+}
+
 function readOutcome(response: TargetResponse): ProxyOutcome {
   const {headers} = response;
   const reason = headers[REASON_HEADER];
--- a/packages/test-support/src/cut_responses.test.ts
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -1,6 +1,10 @@
 import {setImmediate} from 'node:timers/promises';
+import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
+import {brandId} from '@cassiaknot/inventory';
+import type {GateAddress} from '@cassiaknot/peer-protocol';
 import {
   Deadline,
+  HttpGateClient,
   MAX_BUFFERED_RESPONSE_BYTES,
   HttpTargetClient as ProxyTargetClient,
 } from '@cassiaknot/proxy';
@@ -66,6 +70,31 @@
   };
 }
 
+function newGateCaller(address: string): Caller {
+  const client = new HttpGateClient();
+  return {
+    async send(method) {
+      const deadline = new Deadline(TIMEOUT_MS);
+      const {outcome} = await client.call({
+        instanceId: brandId<InstanceId>('i'),
+        address: brandId<GateAddress>(address),
+        serviceId: brandId<ServiceId>('s'),
+        method,
+        path: '/',
+        headers: ['Host', 'h'],
+        body: EMPTY_BODY,
+        depth: 1,
+        isRetry: false,
+        isSuspect: false,
+        deadline,
+      });
+      deadline.dispose();
+      return outcome.kind;
+    },
+    close: () => client.close(),
+  };
+}
+
 interface Hop {
   readonly newCaller: NewCaller;
   /** Header fields of the responses on this hop. */
@@ -76,6 +105,12 @@
 }
 
 const FIELDS = ['Request-Id: r'];
+const ANSWERED_FIELDS = ['cassiaknot-outcome: answered'];
+const NOT_RUN_FIELDS = [
+  'cassiaknot-outcome: not-run',
+  'cassiaknot-reason: draining',
+];
+
 const HOPS: Readonly<Record<string, Hop>> = {
   'relay to a target': {
     newCaller: address => newRelayCaller(address, false),
@@ -95,6 +130,18 @@
     expected: 'unknown',
     keepsConnections: true,
   },
+  'entry to a gate that answers': {
+    newCaller: newGateCaller,
+    fields: ANSWERED_FIELDS,
+    expected: 'unknown',
+    keepsConnections: true,
+  },
+  'entry to a gate that refuses': {
+    newCaller: newGateCaller,
+    fields: NOT_RUN_FIELDS,
+    expected: 'unknown',
+    keepsConnections: true,
+  },
 };
 
 describe('Cut responses', () => {
