Believe unnamed refusals only as first response on a connection (proxy)

A faulty target wrote an earlier refusal once more on a kept connection while it ran the next request. The gate of packages/proxy took the copy as the answer to that request, from the status alone: `not-run`, so that the entry sent it to another target, whatever its method, or told its caller that it had not run.

The gate sends `cassiaknot-call-id`, a new id for each request to a target. A refusal that echoes it is believed on any connection. One without it is believed only as the first response on its connection, before which nothing was sent, and the connection then carries no other request; else the outcome is `unknown`, with the new reason `answer-foreign`, after which only idempotent requests are retried. A response that echoes another id is not passed on. Targets that don't echo the id are served as before but for their refusals on connections that have carried other responses. Entries of older daemons read the new reason as `gate-lost`. The classification moves from the gate to the client, which knows the connection.

--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -77,6 +77,7 @@
   'gate-lost',
   'target-lost',
   'answer-cut',
+  'answer-foreign',
 ]);
 
 /** Routes requests to targets through their gates. */
--- a/packages/proxy/src/gate.ts
+++ b/packages/proxy/src/gate.ts
@@ -11,7 +11,7 @@
 import type {Deadline} from './deadline.js';
 import {computeFingerprint} from '@cassiaknot/coordination';
 import {isIdempotentMethod} from './methods.js';
-import type {Answered, ProxyOutcome} from './outcome.js';
+import type {ProxyOutcome} from './outcome.js';
 import {notRun, unknown} from './outcome.js';
 import type {TargetOutcome} from './target_client.js';
 import type {TargetRegistry} from './target_registry.js';
@@ -157,7 +157,10 @@
       call.claim?.release();
       return notRun('target-gone');
     }
-    const outcome = await call.session.client.send(call.request);
+    const {request, session} = call;
+    const service = this.options.findService(request.serviceId);
+    const refusalStatuses = service?.shedStatuses ?? [];
+    const outcome = await session.client.send({...request, refusalStatuses});
     return this.handleTargetOutcome(call, outcome);
   }
 
@@ -167,10 +170,14 @@
   ): ProxyOutcome {
     switch (outcome.kind) {
       case 'answered':
-        return this.handleResponse(call, outcome);
+        call.claim?.finish(outcome.response);
+        if (call.isExclusive) this.options.crashTracker.clear(call.fingerprint);
+        return outcome;
       case 'not-run':
         call.claim?.release();
-        this.options.targets.handleConnectFailure(call.session);
+        if (outcome.reason === 'connect-failed') {
+          this.options.targets.handleConnectFailure(call.session);
+        }
         return notRun(outcome.reason);
       case 'unknown':
         if (outcome.reason === 'target-lost') this.reportCrash(call);
@@ -178,19 +185,6 @@
     }
   }
 
-  private handleResponse(call: AdmittedCall, answered: Answered): ProxyOutcome {
-    const service = this.options.findService(call.request.serviceId);
-    const {statusCode, remainingBody} = answered.response;
-    if (service?.shedStatuses.includes(statusCode)) {
-      call.claim?.release();
-      remainingBody?.destroy();
-      return notRun('target-shed');
-    }
-    call.claim?.finish(answered.response);
-    if (call.isExclusive) this.options.crashTracker.clear(call.fingerprint);
-    return answered;
-  }
-
   private reportCrash(call: AdmittedCall): void {
     const {serviceId} = call.request;
     const {fingerprint, isExclusive} = call;
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -19,6 +19,11 @@
 export const SERVICE_HEADER = 'cassiaknot-service';
 /** Instance whose gate the entry picked. */
 export const INSTANCE_HEADER = 'cassiaknot-instance';
+/**
+ * Id of a request on one hop. A response that echoes it belongs to the request; one
+ * that echoes another id does not.
+ */
+export const CALL_ID_HEADER = 'cassiaknot-call-id';
 /** Number of requests running and waiting at the responding gate. */
 export const LOAD_HEADER = 'cassiaknot-load';
 /** Response time of the target, in microseconds. */
--- a/packages/proxy/src/outcome.ts
+++ b/packages/proxy/src/outcome.ts
@@ -54,6 +54,8 @@
   /** The target did not respond before the deadline. */
   'target-timeout',
   'answer-cut',
+  /** The response was not known to belong to the request. */
+  'answer-foreign',
   /** The caller disconnected after the request may have been sent. */
   'cancelled-late',
   /** It is not known how an earlier request with this key ended. */
@@ -84,8 +86,8 @@
 }
 
 /**
- * No byte of the request reached a target, or the target responded with one of
- * the statuses by which its service sheds load.
+ * No byte of the request reached a target, or the target refused the request with
+ * one of the statuses by which its service sheds load.
  */
 export interface NotRun {
   readonly kind: 'not-run';
--- a/packages/proxy/src/target_client.ts
+++ b/packages/proxy/src/target_client.ts
@@ -1,15 +1,17 @@
 /** Sends requests to the local target of this daemon. */
 
+import {randomUUID} from 'node:crypto';
 import type {Readable} from 'node:stream';
 import {Transform, pipeline} from 'node:stream';
 import type {Pool} from 'undici';
 import {bufferBody} from './bodies.js';
 import {MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
 import type {Deadline} from './deadline.js';
-import {isFramed} from './headers.js';
+import type {HeaderFields} from './headers.js';
+import {CALL_ID_HEADER, isFramed} from './headers.js';
 import {isConnectFailure} from './network_errors.js';
 import type {NotRunReason, TargetResponse, UnknownReason} from './outcome.js';
-import {unknown} from './outcome.js';
+import {notRun, unknown} from './outcome.js';
 import {ConnectionUse, newConnectionPool} from './target_connection.js';
 
 /** A request to be sent to a target. */
@@ -20,6 +22,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Statuses by which the target refuses a request without running it. */
+  readonly refusalStatuses: readonly number[];
   readonly deadline: Deadline;
 }
 
@@ -47,6 +51,8 @@
   readonly connections: number;
 }
 
+const US_PER_MS = 1_000;
+
 /** Sends requests over HTTP with a connection pool. */
 export class HttpTargetClient implements ProxyTargetClient {
   private readonly pool: Pool;
@@ -56,42 +62,75 @@
   }
 
   async send(request: TargetRequest): Promise<TargetOutcome> {
-    const startedAtMs = performance.now();
-    const {deadline} = request;
-    const use = new ConnectionUse();
     try {
-      const response = await this.pool.request({
-        method: request.method,
-        path: request.path,
-        headers: [...request.headers],
-        body: request.body.byteLength > 0 ? request.body : null,
-        signal: deadline.cancellation,
-        opaque: use,
-      });
-      const {statusCode, headers} = response;
-      const {body, remainingBody} = await bufferBody(
-        response.body,
-        MAX_BUFFERED_RESPONSE_BYTES,
-      );
-      if (!isFramed(headers) && use.wasReset()) return unknown('answer-cut');
-      return {
-        kind: 'answered',
-        response: {
-          statusCode,
-          headers,
-          body,
-          remainingBody: remainingBody && failOnReset(remainingBody, use),
-        },
-        targetTimeUs: (performance.now() - startedAtMs) * 1_000,
-      };
+      return await this.exchange(request);
     } catch (error) {
-      return classifyFailure(error, deadline);
+      return classifyFailure(error, request.deadline);
     }
   }
 
   close(): Promise<void> {
     return this.pool.destroy();
   }
+
+  private async exchange(request: TargetRequest): Promise<TargetOutcome> {
+    const startedAtMs = performance.now();
+    const callId = randomUUID();
+    const use = new ConnectionUse();
+    const response = await this.pool.request({
+      method: request.method,
+      path: request.path,
+      headers: [...request.headers, CALL_ID_HEADER, callId],
+      body: request.body.byteLength > 0 ? request.body : null,
+      signal: request.deadline.cancellation,
+      opaque: use,
+    });
+    const {statusCode, headers} = response;
+    const isRefusal = request.refusalStatuses.includes(statusCode);
+    const owner = findOwner(headers, callId);
+    if (owner === 'another' || (isRefusal && owner === 'unnamed')) {
+      use.endConnection();
+    }
+    const {body, remainingBody} = await bufferBody(
+      response.body,
+      MAX_BUFFERED_RESPONSE_BYTES,
+    );
+    if (owner === 'another' || isRefusal) {
+      remainingBody?.destroy();
+      return classifyRefusal(owner, use);
+    }
+    if (!isFramed(headers) && use.wasReset()) return unknown('answer-cut');
+    return {
+      kind: 'answered',
+      response: {
+        statusCode,
+        headers,
+        body,
+        remainingBody: remainingBody && failOnReset(remainingBody, use),
+      },
+      targetTimeUs: (performance.now() - startedAtMs) * US_PER_MS,
+    };
+  }
+}
+
+/** Request to which a response belongs by the id that it echoes. */
+type ResponseOwner = 'this' | 'another' | 'unnamed';
+
+function findOwner(headers: HeaderFields, callId: string): ResponseOwner {
+  const echoedId = headers[CALL_ID_HEADER];
+  if (echoedId === undefined) return 'unnamed';
+  return echoedId === callId ? 'this' : 'another';
+}
+
+// A faulty target may write an earlier refusal again while it runs the next request
+// of the connection. Nothing precedes the first response on a connection.
+function classifyRefusal(
+  owner: ResponseOwner,
+  use: ConnectionUse,
+): TargetOutcome {
+  const isOwn =
+    owner === 'this' || (owner === 'unnamed' && use.isFirstOnConnection());
+  return isOwn ? notRun('target-shed') : unknown('answer-foreign');
 }
 
 // The stream of a response without a length also ends when its connection is reset.
--- a/packages/proxy/src/target_connection.ts
+++ b/packages/proxy/src/target_connection.ts
@@ -1,12 +1,33 @@
 /** Connections to a target, and what is known of them when a response arrives. */
 
+import type {Socket} from 'node:net';
 import type {Dispatcher} from 'undici';
 import {Client, Pool, buildConnector} from 'undici';
 import {CONNECT_TIMEOUT_MS} from './constants.js';
 
 /** What happened to the connection that carries a request. */
 export class ConnectionUse {
+  private isFirst = false;
   private isReset = false;
+  private isLast = false;
+
+  recordConnect(): void {
+    this.isFirst = true;
+  }
+
+  /** Whether the connection was opened for this request. */
+  isFirstOnConnection(): boolean {
+    return this.isFirst;
+  }
+
+  /** Lets no further request use the connection. */
+  endConnection(): void {
+    this.isLast = true;
+  }
+
+  isLastOnConnection(): boolean {
+    return this.isLast;
+  }
 
   recordReset(): void {
     this.isReset = true;
@@ -35,6 +56,7 @@
 /** One connection, which is opened again when it is needed after it was closed. */
 class TargetConnection extends Client {
   private use: ConnectionUse | undefined;
+  private socket: Socket | undefined;
 
   constructor(origin: URL, options: object) {
     const connector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
@@ -42,10 +64,13 @@
       ...options,
       connect: (connectOptions, callback) => {
         connector(connectOptions, (...result) => {
+          const [error, socket] = result;
+          if (error === null) this.use?.recordConnect();
+          this.socket = socket ?? undefined;
           // This listener runs before that of undici, which takes a reset as the end
           // of a response without a length.
-          result[1]?.on('error', error => {
-            if ('syscall' in error) this.use?.recordReset();
+          socket?.on('error', failure => {
+            if ('syscall' in failure) this.use?.recordReset();
           });
           callback(...result);
         });
@@ -57,6 +82,8 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
+    // The client opens another connection for a request that it has not sent yet.
+    if (this.use?.isLastOnConnection() === true) this.socket?.destroy();
     if ('opaque' in options && options.opaque instanceof ConnectionUse) {
       this.use = options.opaque;
     }
--- a/packages/test-support/src/cut_responses.test.ts
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -61,6 +61,7 @@
         path: '/',
         headers: ['Host', 'h'],
         body: EMPTY_BODY,
+        refusalStatuses: [],
         deadline,
       });
       deadline.dispose();
@@ -204,6 +205,7 @@
         path: '/',
         headers: ['Host', 'h'],
         body: EMPTY_BODY,
+        refusalStatuses: [],
         deadline,
       });
       expect(outcome.kind).to.equal('answered');
--- a/packages/test-support/src/targets/fake_target.ts
+++ b/packages/test-support/src/targets/fake_target.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {CALL_ID_HEADER} from '@cassiaknot/proxy';
 import {request as sendRequest} from 'undici';
 import {sleep} from '../sleep.js';
 
@@ -122,6 +123,8 @@
     }
     const delayMs = Number(query.get('delay') ?? 0);
     if (delayMs > 0) await sleep(delayMs);
+    const callId = request.headers[CALL_ID_HEADER];
+    if (callId !== undefined) response.setHeader(CALL_ID_HEADER, callId);
     this.sendResponse(response, query, requestId, body);
   }
 
