Run a pipelined request only after the responses before it (proxy)

Callers of cassiaknotd that send further requests before the first response lost the later ones although targets had run them: where a response ended with its connection (without a length, to a caller of HTTP/1.0) or was broken off, the requests behind it had been passed on already. Callers take those as not read, and send them again whatever their method.

Seen red: "expected [ '/1', '/2', '/3' ] to deeply equal [ '/1' ]" for both. Besides, such requests stayed in flight for ever, as the runtime does not close a response that waits for others, and a stop waited for them in vain ("expected false to equal true" of the stop).

The server runs a request once the responses before it on its connection have ended, and not at all if one of them closed the connection. A request ends with its response or with its connection. Pipelined requests of one caller thereby run one after the other; those on other connections are not affected.

--- a/packages/proxy/src/http_server.test.ts
+++ b/packages/proxy/src/http_server.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import {expect} from 'chai';
 import {HttpServer} from './http_server.js';
@@ -30,4 +31,72 @@
     expect(received.match(/ran \/\d/g)).to.have.length(run.length);
     expect(received.match(/connection: close/gi)).to.have.length(1);
   });
+
+  // Requests behind a response that closed the connection ran, and were cut. Their
+  // callers take them as not read, and send them again.
+  for (const [name, protocol, respond] of [
+    [
+      'a response without a length',
+      'HTTP/1.0',
+      (response: ServerResponse) => {
+        response.write('part');
+        response.end();
+      },
+    ],
+    [
+      'a response that is broken off',
+      'HTTP/1.1',
+      (response: ServerResponse) => {
+        response.write('part', () => response.destroy());
+      },
+    ],
+  ] as const) {
+    it(`runs no pipelined request behind ${name}`, async () => {
+      const run: string[] = [];
+      const server = new HttpServer(async (request, response) => {
+        run.push(request.url ?? '');
+        await new Promise(resolve => setTimeout(resolve, RUN_MS));
+        respond(response);
+      });
+      const address = {host: HOST, port: 0, idleTimeoutMs: 500};
+      const port = await server.listen(address);
+      const socket = connect({host: HOST, port});
+      socket.on('error', () => undefined);
+      socket.resume();
+      const newHead = (path: string) =>
+        `GET ${path} ${protocol}\r\nHost: h\r\nConnection: keep-alive\r\n\r\n`;
+      socket.write(newHead('/1') + newHead('/2'));
+      setTimeout(() => socket.write(newHead('/3')), RUN_MS / 2);
+      await once(socket, 'close');
+      expect(run).to.deep.equal(['/1']);
+      expect(await server.stop(1_000)).to.equal(true);
+    });
+  }
+
+  it('runs pipelined requests in turn, and responds to all of them', async () => {
+    const run: string[] = [];
+    const server = new HttpServer((request, response) => {
+      run.push(request.url ?? '');
+      response.end(`ran ${request.url}`);
+      return Promise.resolve();
+    });
+    const port = await server.listen({host: HOST, port: 0, idleTimeoutMs: 500});
+    const socket = connect({host: HOST, port});
+    let received = '';
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    const paths = ['/1', '/2', '/3', '/4'];
+    for (const path of paths) {
+      const isLast = path === paths.at(-1);
+      const option = isLast ? 'close' : 'keep-alive';
+      socket.write(
+        `GET ${path} HTTP/1.1\r\nHost: h\r\nConnection: ${option}\r\n\r\n`,
+      );
+    }
+    await once(socket, 'close');
+    expect(await server.stop(1_000)).to.equal(true);
+    expect(run).to.deep.equal(paths);
+    expect(received.match(/ran \/\d/g)).to.deep.equal(
+      paths.map(path => `ran ${path}`),
+    );
+  });
 });
--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -38,6 +38,8 @@
   private isRefusing = false;
   private lastRequestAtMs = 0;
   private readonly latestResponses = new WeakMap<Socket, ServerResponse>();
+  /** Resolves when the response to the latest request of a connection has ended. */
+  private readonly latestEnds = new WeakMap<Socket, Promise<void>>();
 
   constructor(
     private readonly handler: RequestHandler,
@@ -112,10 +114,38 @@
       await this.refusalHandler(request, response);
       return;
     }
+    await this.run(request, response);
+  }
+
+  // Callers take requests behind a response that closes the connection as not read,
+  // so a request is run only once the responses before it have ended.
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {socket} = request;
+    const earlierEnd = this.latestEnds.get(socket);
+    const end = waitForEnd(response, socket);
+    this.latestEnds.set(socket, end);
     this.inFlightCount += 1;
-    response.once('close', () => {
+    void end.then(() => {
       this.inFlightCount -= 1;
     });
-    await this.handler(request, response);
+    await earlierEnd;
+    if (socket.writable) await this.handler(request, response);
   }
 }
+
+// A response that waits for others before it is not closed with its connection.
+function waitForEnd(response: ServerResponse, socket: Socket): Promise<void> {
+  return new Promise(resolve => {
+    const handleClose = () => {
+      response.off('close', handleClose);
+      socket.off('close', handleClose);
+      resolve();
+    };
+    socket.setMaxListeners(0);
+    response.once('close', handleClose);
+    socket.once('close', handleClose);
+  });
+}
