Check that a gate's response names its call

An entry of cassiaknotd believed any `not-run` of a gate. No gate is known to write a refusal twice; a copy of an earlier one on a kept connection would have sent a request that ran to a second target, whatever its method.

Seen red with a server that repeats its first refusal: "expected 'not-run' to equal 'unknown'". The entry sends `cassiaknot-call-id`, as gates do to targets, and gates echo it on every response, also while they stop. A response that names another call counts as a lost gate. Gates of earlier versions echo none and are believed as before; entries of earlier versions send none and ignore what they get, so that both can run in one mesh.

--- a/packages/proxy/src/gate_client.ts
+++ b/packages/proxy/src/gate_client.ts
@@ -1,5 +1,6 @@
 /** Sends requests from an entry to gates. */
 
+import {randomUUID} from 'node:crypto';
 import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
 import type {GateAddress} from '@cassiaknot/peer-protocol';
 import {Agent} from 'undici';
@@ -12,6 +13,7 @@
 } from './constants.js';
 import type {Deadline} from './deadline.js';
 import {
+  CALL_ID_HEADER,
   DEPTH_HEADER,
   INSTANCE_HEADER,
   LOAD_HEADER,
@@ -121,11 +123,12 @@
     remainingMs: number,
     signal: Cancellation,
   ): Promise<GateCallResult> {
+    const callId = randomUUID();
     const response = await this.agent.request({
       origin: `http://${call.address}`,
       method: call.method,
       path: call.path,
-      headers: newGateHeaders(call, remainingMs),
+      headers: newGateHeaders(call, callId, remainingMs),
       body: call.body.byteLength > 0 ? call.body : null,
       signal,
     });
@@ -135,7 +138,8 @@
       MAX_BUFFERED_RESPONSE_BYTES,
     );
     // Gates frame all bodies; without a length, a cut response looks complete.
-    if (hasBody(call.method, statusCode) && !isFramed(headers)) {
+    const isUnframed = hasBody(call.method, statusCode) && !isFramed(headers);
+    if (isUnframed || isOfAnotherCall(headers, callId)) {
       buffered.remainingBody?.destroy();
       return {outcome: unknown('gate-lost'), load: undefined};
     }
@@ -144,9 +148,15 @@
   }
 }
 
-function newGateHeaders(call: GateCall, remainingMs: number): string[] {
+function newGateHeaders(
+  call: GateCall,
+  callId: string,
+  remainingMs: number,
+): string[] {
   const headers = [
     ...call.headers,
+    CALL_ID_HEADER,
+    callId,
     INSTANCE_HEADER,
     call.instanceId,
     SERVICE_HEADER,
@@ -161,6 +171,12 @@
   return headers;
 }
 
+// Gates of versions before the header don't echo it.
+function isOfAnotherCall(headers: HeaderFields, callId: string): boolean {
+  const echoedId = headers[CALL_ID_HEADER];
+  return echoedId !== undefined && echoedId !== callId;
+}
+
 function hasBody(method: string, statusCode: number): boolean {
   return method !== 'HEAD' && statusCode !== 204 && statusCode !== 304;
 }
--- a/packages/proxy/src/write_outcome.ts
+++ b/packages/proxy/src/write_outcome.ts
@@ -2,7 +2,12 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
-import {OUTCOME_HEADER, REASON_HEADER, copyResponseHeaders} from './headers.js';
+import {
+  CALL_ID_HEADER,
+  OUTCOME_HEADER,
+  REASON_HEADER,
+  copyResponseHeaders,
+} from './headers.js';
 import type {Answered, NotRun, ProxyOutcome, Unknown} from './outcome.js';
 import {getFailureStatus, notRun} from './outcome.js';
 
@@ -10,8 +15,9 @@
 export type ExtraHeaders = Readonly<Record<string, string>>;
 
 /**
- * Writes an outcome. If the streamed part of a large response fails, the
- * connection is destroyed, so that its receiver detects the truncation.
+ * Writes an outcome, and echoes the id of the call. If the streamed part of a large
+ * response fails, the connection is destroyed, so that its receiver detects the
+ * truncation.
  */
 export async function writeOutcome(
   response: ServerResponse,
@@ -22,6 +28,8 @@
     discardOutcome(outcome);
     return;
   }
+  const callId = response.req.headers[CALL_ID_HEADER];
+  if (callId !== undefined) response.setHeader(CALL_ID_HEADER, callId);
   if (outcome.kind === 'answered') {
     await writeResponse(response, outcome, extraHeaders);
     return;
