--- a/packages/test-support/src/http_store.test.ts
+++ b/packages/test-support/src/http_store.test.ts
@@ -1,6 +1,14 @@
 import {HttpStore} from '@cassiaknot/store';
 import {expect} from 'chai';
 import {FakeStoreServer} from './fake_store_server.js';
+import type {RawResponse} from './targets/raw_target.js';
+import {RawTarget} from './targets/raw_target.js';
+
+const RANGE = JSON.stringify({header: {revision: '9'}, kvs: [], count: '0'});
+const RESPONSE_HEADS = [
+  `HTTP/1.1 200 OK\r\nContent-Length: ${RANGE.length}\r\n\r\n`,
+  'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n',
+];
 
 describe('HttpStore', () => {
   let server: FakeStoreServer;
@@ -84,4 +92,34 @@
     expect(put.isErr() && put.error.kind).to.equal('unavailable');
     await unreachable.close();
   });
+
+  // A list that ends early would hide keys, and an absent key is a deleted one.
+  for (const end of ['fin', 'reset'] as const) {
+    it(`reads no response that ends early: ${end}`, async () => {
+      const target = new RawTarget();
+      await target.start();
+      const url = `http://${target.getAddress()}`;
+      const cutStore = new HttpStore({url, timeoutMs: 1_000});
+      const watch = {key: 'k', afterRevision: 1, timeoutMs: 1_000};
+      for (const head of RESPONSE_HEADS) {
+        const bytes = head + RANGE;
+        for (let size = 0; size < bytes.length; size += 1) {
+          target.script(
+            ...Array<RawResponse>(4).fill({bytes: bytes.slice(0, size), end}),
+          );
+          const results = [
+            await cutStore.get('k'),
+            await cutStore.list('', 10),
+            await cutStore.getStaleRevision(),
+            await cutStore.waitForChange(watch),
+          ];
+          for (const result of results) {
+            expect(result.isErr(), `${size} bytes`).to.equal(true);
+          }
+        }
+      }
+      await cutStore.close();
+      target.stop();
+    });
+  }
 });
