Count the wait of a pipelined request against its deadline (proxy)

Pipelined requests now wait for the responses before them, and the deadline of the entry began only after that wait, so that targets were given time that their callers no longer had.

Seen red: "expected 999.96 to be at most 902" (milliseconds left of 1,000 after a wait of 100). The server tells handlers when it has read a request, and the entry counts the deadline and the latency from then.

--- a/packages/proxy/src/entry_server.ts
+++ b/packages/proxy/src/entry_server.ts
@@ -30,13 +30,12 @@
   entry: ProxyEntry,
   meter: ProxyMeter,
 ): RequestHandler {
-  return async (request, response) => {
-    const startedAtMs = performance.now();
-    const call = new EntryCall(request, response);
+  return async (request, response, receivedAtMs) => {
+    const call = new EntryCall(request, response, receivedAtMs);
     const outcome = await call.route(entry);
     meter.countOutcome('entry', outcome);
     if (outcome.kind === 'answered') {
-      const totalUs = (performance.now() - startedAtMs) * US_PER_MS;
+      const totalUs = (performance.now() - receivedAtMs) * US_PER_MS;
       meter.recordLatency(totalUs, outcome.targetTimeUs);
     }
     await writeOutcome(response, outcome);
@@ -52,6 +51,7 @@
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly receivedAtMs: number,
   ) {
     response.once('close', () => {
       if (response.writableFinished) return;
@@ -92,7 +92,8 @@
       requestedTimeoutMs ?? service.timeoutMs,
       service.timeoutMs,
     );
-    const deadline = new Deadline(timeoutMs);
+    const waitedMs = performance.now() - this.receivedAtMs;
+    const deadline = new Deadline(Math.max(0, timeoutMs - waitedMs));
     this.deadline = deadline;
     if (this.isCallerDisconnected) deadline.cancel();
     return deadline;
--- a/packages/proxy/src/http_server.ts
+++ b/packages/proxy/src/http_server.ts
@@ -15,6 +15,8 @@
 export type RequestHandler = (
   request: IncomingMessage,
   response: ServerResponse,
+  /** Time by the steady clock at which the head of the request was read. */
+  receivedAtMs: number,
 ) => Promise<void>;
 
 /** Address and connection settings of a server. */
@@ -108,13 +110,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.lastRequestAtMs = performance.now();
+    const receivedAtMs = performance.now();
+    this.lastRequestAtMs = receivedAtMs;
     if (!this.admit(request.socket, response)) return;
     if (this.isRefusing) {
-      await this.refusalHandler(request, response);
+      await this.refusalHandler(request, response, receivedAtMs);
       return;
     }
-    await this.run(request, response);
+    await this.run(request, response, receivedAtMs);
   }
 
   // Callers take requests behind a response that closes the connection as not read,
@@ -122,6 +125,7 @@
   private async run(
     request: IncomingMessage,
     response: ServerResponse,
+    receivedAtMs: number,
   ): Promise<void> {
     const {socket} = request;
     const earlierEnd = this.latestEnds.get(socket);
@@ -132,7 +136,8 @@
       this.inFlightCount -= 1;
     });
     await earlierEnd;
-    if (socket.writable) await this.handler(request, response);
+    if (!socket.writable) return;
+    await this.handler(request, response, receivedAtMs);
   }
 }
 
