--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -19,6 +19,11 @@
 export const SERVICE_HEADER = 'cassiaknot-service';
 /** Instance whose gate the entry picked. */
 export const INSTANCE_HEADER = 'cassiaknot-instance';
+/**
+ * Id of a request on one hop. A response that echoes it belongs to the request; one
+ * that echoes another id does not.
+ */
+export const CALL_ID_HEADER = 'cassiaknot-call-id';
 /** Number of requests running and waiting at the responding gate. */
 export const LOAD_HEADER = 'cassiaknot-load';
 /** Response time of the target, in microseconds. */
@@ -68,6 +73,14 @@
   return copied;
 }
 
+/** Whether a response states where its body ends. */
+export function isFramed(fields: HeaderFields): boolean {
+  return (
+    fields['content-length'] !== undefined ||
+    fields['transfer-encoding'] !== undefined
+  );
+}
+
 /** Parses a number header; undefined if absent, invalid or out of range. */
 export function readNumberHeader(
   value: string | string[] | undefined,
