--- a/packages/test-support/src/cut_responses.test.ts
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -43,6 +43,7 @@
         body: EMPTY_BODY,
         signal: AbortSignal.timeout(TIMEOUT_MS),
         usesFreshConnection,
+        classify: () => ({kind: 'answer'}),
       });
       return exchange.kind;
     },
