--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -22,9 +22,9 @@
   readonly admittedAtMs: number;
   readonly position: number;
   /** {@link CallerConnection.allKnown} before this request. */
-  readonly allKnown: Promise<unknown>;
+  readonly allKnown: Promise<void>;
   /** {@link CallerConnection.exclusiveKnown} before this request. */
-  readonly exclusiveKnown: Promise<unknown>;
+  readonly exclusiveKnown: Promise<void>;
   /** Lets requests behind this one be passed on beside it. */
   readonly allowOverlap: () => void;
   /** Reports that the response is known. */
@@ -51,9 +51,9 @@
   /** Called once all complete requests have their responses. */
   private handleAnswered: (() => void) | undefined;
   /** Resolves once the responses to all requests so far are known. */
-  private allKnown: Promise<unknown> = Promise.resolve();
+  private allKnown: Promise<void> = Promise.resolve();
   /** Resolves once that is so for those that no other request may overlap. */
-  private exclusiveKnown: Promise<unknown> = Promise.resolve();
+  private exclusiveKnown: Promise<void> = Promise.resolve();
 
   constructor(readonly socket: Socket) {}
 
@@ -82,8 +82,8 @@
     const {allKnown, exclusiveKnown} = this;
     const known = newSignal();
     const overlap = newSignal();
-    this.allKnown = Promise.all([allKnown, known.whenSent]);
-    this.exclusiveKnown = Promise.all([exclusiveKnown, overlap.whenSent]);
+    this.allKnown = allKnown.then(() => known.whenSent);
+    this.exclusiveKnown = exclusiveKnown.then(() => overlap.whenSent);
     this.unwritten.set(response, {
       request,
       requestId,
