Choose the ports of the tests of stops below the ephemeral range

"Overlapping planned stops" failed once with EADDRINUSE: the ports were free ones that the system had chosen, and an outgoing connection took one before the daemon did. They are now searched below the ephemeral range, as those of the process tests are.

--- a/packages/daemon/src/testing/mesh_daemons.ts
+++ b/packages/daemon/src/testing/mesh_daemons.ts
@@ -1,7 +1,6 @@
 /** Mesh daemons in one process that share a store, for tests of their stop. */
 
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:net';
 import {
   Backoff,
@@ -30,6 +29,13 @@
 const TARGET_SLOTS = 20;
 const POLL_INTERVAL_MS = 20;
 const WAIT_LIMIT_MS = 10_000;
+/** Ports to search for free ones: this and the `PORT_COUNT - 1` after it. */
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 16_000;
+const PORT_STRIDE_PER_PROCESS = 97;
+
+// Concurrent test runs start their search at different ports.
+let nextPortOffset = process.pid * PORT_STRIDE_PER_PROCESS;
 
 /** Takes every response as the answer to the request. */
 const HEADER_CODEC: HeaderCodec = {
@@ -193,12 +199,24 @@
   ];
 }
 
+// An ephemeral port could be taken by an outgoing connection before it is used.
 async function findFreePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + (nextPortOffset % PORT_COUNT);
+    nextPortOffset += 1;
+    if (await isPortFree(port)) return port;
+  }
+}
+
+async function isPortFree(port: number): Promise<boolean> {
   const server = createServer();
-  server.listen(0, HOST);
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
+  try {
+    server.listen(port, HOST);
+    await once(server, 'listening');
+  } catch {
+    return false;
+  }
   server.close();
   await once(server, 'close');
-  return port;
+  return true;
 }
