Bound the time for which a stop reads what has arrived

Found by review: with an event loop that was busy 12 ms a turn, the reading before the stop's decisions did not return until the load ended (8 s), beyond the grace period, and all requests in flight would have been cut by SIGKILL.

Reading now takes a time until which it goes on: up to a second after the last time to accept connections, and to the end of the stop afterwards. A request whose caller left before its turn is dropped before it is routed.

Tests: "Caller server reads what has arrived until the given time at most", "Pipelined requests are dropped if their caller leaves before their turn".

--- a/packages/daemon/src/mesh/graceful_shutdown.ts
+++ b/packages/daemon/src/mesh/graceful_shutdown.ts
@@ -18,8 +18,11 @@
    * may not be complete at the given time are refused from now on.
    */
   drainCallerConnections(serveUntilMs: number): void;
-  /** Reads what has arrived on all connections, new ones included. */
-  readArrived(): Promise<void>;
+  /**
+   * Reads what has arrived on all connections, new ones included, until the given time
+   * at most.
+   */
+  readArrived(untilMs: number): Promise<void>;
   /** Stops accepting connections and closes those without a request. */
   stopAccepting(): void;
   /** Refuses all requests from now on. */
@@ -41,6 +44,8 @@
  * shutdown, so that their requests can complete.
  */
 const ACCEPT_DEADLINE_MS = 3_300;
+/** Time after that in which connections that wait to be accepted are still read. */
+const ACCEPT_READ_MS = 1_000;
 /**
  * Reserved at the end of the grace period for the last writes: leaving the mesh
  * and flushing the log.
@@ -70,19 +75,22 @@
   hooks.drainCallerConnections(serveUntilMs);
   // Keeps running to refuse the offers that entries send before they learn that
   // the gate has closed.
-  await sleepAndRead(hooks, IDLE_MS);
+  const acceptUntilMs =
+    startMs + Math.min(deadlineMs, ACCEPT_DEADLINE_MS + ACCEPT_READ_MS);
+  await sleepAndRead(hooks, IDLE_MS, acceptUntilMs);
   while (getElapsedMs() < ACCEPT_DEADLINE_MS && !areCallersIdle(hooks)) {
-    await sleepAndRead(hooks, POLL_INTERVAL_MS);
+    await sleepAndRead(hooks, POLL_INTERVAL_MS, acceptUntilMs);
   }
   hooks.stopAccepting();
+  const readUntilMs = startMs + deadlineMs;
   while (hooks.getInFlightCount() > 0 && getElapsedMs() < deadlineMs) {
-    await sleepAndRead(hooks, POLL_INTERVAL_MS);
+    await sleepAndRead(hooks, POLL_INTERVAL_MS, readUntilMs);
   }
   // A late event loop may hold responses that arrived in time.
   for (let polls = 0; hooks.getInFlightCount() > 0; polls += 1) {
     const isOver = getElapsedMs() >= deadlineMs + LATE_RESPONSE_MS;
     if (isOver && polls >= MIN_LATE_POLLS) break;
-    await sleepAndRead(hooks, LATE_POLL_INTERVAL_MS);
+    await sleepAndRead(hooks, LATE_POLL_INTERVAL_MS, readUntilMs);
   }
   const isGraceful = hooks.getInFlightCount() === 0;
   hooks.refuseRequests();
@@ -98,9 +106,10 @@
 async function sleepAndRead(
   hooks: ShutdownHooks,
   delayMs: number,
+  untilMs: number,
 ): Promise<void> {
   await sleep(delayMs);
-  await hooks.readArrived();
+  await hooks.readArrived(untilMs);
 }
 
 function sleep(delayMs: number): Promise<void> {
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -196,7 +196,7 @@
         this.logStopStep('accept-ended');
         this.callerServer.stopAccepting();
       },
-      readArrived: () => this.callerServer.readArrived(),
+      readArrived: untilMs => this.callerServer.readArrived(untilMs),
       refuseRequests: () => this.callerServer.requestClose(-Infinity),
       getInFlightCount: () => this.countInFlight(),
       abortInFlight: () => void this.callerServer.abortInFlight(),
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -153,4 +153,20 @@
     expect(position('run /4')).to.be.below(position('end /3'));
     expect(events).to.have.length(2 * paths.length);
   });
+
+  it('are dropped if their caller leaves before their turn', async () => {
+    const handled: string[] = [];
+    const {server, port} = await listen(async ({path}) => {
+      handled.push(path);
+      await sleep(40);
+      return answer(path, true);
+    });
+    const socket = connect({host: HOST, port});
+    socket.write(newHead('/1') + newHead('/2') + newHead('/3'));
+    await sleep(20);
+    socket.resetAndDestroy();
+    await sleep(100);
+    server.stopAccepting();
+    expect(handled).to.deep.equal(['/1']);
+  });
 });
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -179,13 +179,31 @@
     const received = Promise.all(sockets.map(readToEnd));
     server.requestClose(Infinity);
     for (const socket of sockets) socket.write(FINAL_REQUEST);
-    await server.readArrived();
+    await server.readArrived(Infinity);
     server.stopAccepting();
     for (const text of await received) {
       expect(text).to.match(/^HTTP\/1\.1 200 /);
     }
   });
 
+  // A busy event loop is late at each turn; reading went on beyond the end of a stop.
+  it('reads what has arrived until the given time at most', async () => {
+    const {server} = await listen(() => Promise.resolve(answer('ok', true)));
+    let isBusy = true;
+    const keepBusy = () => {
+      const untilMs = performance.now() + 25;
+      while (performance.now() < untilMs);
+      if (isBusy) setImmediate(keepBusy);
+    };
+    keepBusy();
+    const timer = setTimeout(() => (isBusy = false), 3_000);
+    await server.readArrived(performance.now() + 200);
+    expect(isBusy).to.equal(true);
+    isBusy = false;
+    clearTimeout(timer);
+    server.stopAccepting();
+  });
+
   // The first response carried Connection: close, though the second request had been
   // passed on; the connection ended before its response.
   it('planned stop: responds to all pipelined requests that were passed on', async () => {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -51,8 +51,6 @@
 const LINGER_TIMEOUT_MS = 1_000;
 /** Duration of a poll from which on more may have arrived meanwhile. */
 const LATE_POLL_MS = 20;
-/** More than the connections that wait to be accepted. */
-const MAX_READ_POLLS = 1_024;
 const MS_PER_SECOND = 1_000;
 
 /** A request that is being served. */
@@ -157,16 +155,19 @@
   }
 
   /**
-   * Reads what has arrived, until a poll that is not late brings nothing new. The runtime accepts one
-   * connection a turn, so a late event loop needs several turns to catch up.
+   * Reads what has arrived, until a poll that is not late brings nothing new, or until
+   * the given time. The runtime accepts one connection a turn, so a late event loop
+   * needs several turns to catch up.
    */
-  async readArrived(): Promise<void> {
-    for (let polls = 0; polls < MAX_READ_POLLS; polls += 1) {
+  async readArrived(untilMs: number): Promise<void> {
+    for (;;) {
       const arrivals = this.arrivalCount;
       const startedAtMs = performance.now();
       await pollSockets();
-      const isLate = performance.now() - startedAtMs >= LATE_POLL_MS;
-      if (this.arrivalCount === arrivals && !isLate) return;
+      const nowMs = performance.now();
+      const isLate = nowMs - startedAtMs >= LATE_POLL_MS;
+      const hasNew = this.arrivalCount !== arrivals;
+      if (nowMs >= untilMs || (!hasNew && !isLate)) return;
     }
   }
 
@@ -279,8 +280,7 @@
   ): Promise<boolean> {
     const loopDelayMs = this.options.getLoopDelayMs();
     const isLate = loopDelayMs >= LATE_LOOP_MS;
-    if (!isLate && !connection.isFirst(response)) return false;
-    await pollSockets();
+    if (isLate || connection.isFirst(response)) await pollSockets();
     if (!caller.signal.aborted) return false;
     const {observer} = this.options;
     observer.count('refused', 'caller-left');
