--- a/packages/proxy/src/http_server.test.ts
+++ b/packages/proxy/src/http_server.test.ts
@@ -30,4 +30,66 @@
     expect(received.match(/ran \/\d/g)).to.have.length(run.length);
     expect(received.match(/connection: close/gi)).to.have.length(1);
   });
+
+  // A response behind another one never closes if its connection ends, so the server
+  // waited for it until the timeout of its stop, and reported it as aborted.
+  it('counts no pipelined requests of a caller that has gone', async () => {
+    const server = new HttpServer(async (_request, response) => {
+      await new Promise(resolve => setTimeout(resolve, RUN_MS));
+      response.end();
+    });
+    const port = await server.listen({host: HOST, port: 0, idleTimeoutMs: 500});
+    const socket = connect({host: HOST, port});
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(3));
+    setTimeout(() => socket.resetAndDestroy(), RUN_MS / 2);
+    await once(socket, 'close');
+    await new Promise(resolve => setTimeout(resolve, 4 * RUN_MS));
+    expect(await server.stop(4 * RUN_MS)).to.equal(true);
+  });
+
+  // The runtime answered bytes that are no request in place of the requests before
+  // them, and closed the connection.
+  it('responds to the requests before bytes that are none', async () => {
+    const server = new HttpServer(async (request, response) => {
+      await new Promise(resolve => setTimeout(resolve, RUN_MS));
+      response.end(`ran ${request.url}`);
+    });
+    const port = await server.listen({host: HOST, port: 0, idleTimeoutMs: 500});
+    const socket = connect({host: HOST, port});
+    let received = '';
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n');
+    await once(socket, 'close');
+    await server.stop(0);
+    expect(received.match(/ran \/\d/g)).to.deep.equal(['ran /1']);
+  });
+
+  // A late event loop runs the timers of the stop before it reads what has arrived.
+  it('answers a request that arrived during a delay of its stop', async () => {
+    const server = new HttpServer((request, response) => {
+      response.end(`ran ${request.url}`);
+      return Promise.resolve();
+    });
+    const port = await server.listen({
+      host: HOST,
+      port: 0,
+      idleTimeoutMs: 5_000,
+    });
+    const socket = connect({host: HOST, port});
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    let received = '';
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n');
+    await once(socket, 'data');
+    const stopped = server.stop(1_000);
+    await new Promise(resolve => setTimeout(resolve, RUN_MS));
+    await new Promise(resolve => setImmediate(resolve));
+    socket.write('GET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+    const untilMs = performance.now() + 500;
+    while (performance.now() < untilMs);
+    await stopped;
+    await closed;
+    expect(received.match(/ran \/\d/g)).to.deep.equal(['ran /1', 'ran /2']);
+  });
 });
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -153,4 +153,20 @@
     expect(position('run /4')).to.be.below(position('end /3'));
     expect(events).to.have.length(2 * paths.length);
   });
+
+  // The runtime closed the connection at once, and the request before, which had been
+  // passed on, got no response.
+  it('have their responses although a CONNECT follows', async () => {
+    const {server, port} = await listen(async ({path}) => {
+      await sleep(40);
+      return answer(path, true);
+    });
+    const socket = connect({host: HOST, port});
+    const received = readToEnd(socket);
+    socket.write(`${newHead('/1')}CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n`);
+    setTimeout(() => socket.end(), 200);
+    const text = await received;
+    server.stopAccepting();
+    expect(text).to.match(/response-id: \/1/i);
+  });
 });
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -126,7 +126,7 @@
   }
 
   /** Delivers an offer that was under way for the given time. */
-  offer(remainingMs: number, transitMs: number): CallId {
+  offer(remainingMs: number, transitMs: number, isIdempotent = true): CallId {
     this.offerCount += 1;
     const callId = brandId<CallId>(String(this.offerCount));
     this.linkEvents.onFrame(this.link, {
@@ -145,7 +145,7 @@
       objectiveMs: 100,
       objectiveLeftMs: 100,
       urgency: 1,
-      isIdempotent: true,
+      isIdempotent,
       sentAtMs: performance.now() - transitMs,
     });
     return callId;
