Refuse queued runs too that a stopping gate may not complete

Found by review: non-idempotent requests that were queued at a gate when its planned stop began were started later, and cut by the end of the process. The limit was asked for new offers only.

When the limit is set, requests that wait and may exceed it are refused as not run, so that their entries offer them elsewhere. Test: "Gate that stops starts no queued run that it may not complete", listed red before.

--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -77,6 +77,9 @@
   /** Starts no run that can't be repeated and may outlast the given time. */
   limitRuns(serveUntilMs: number): void {
     this.stopLimit.set(serveUntilMs);
+    for (const {calls} of this.connections.values()) {
+      for (const call of [...calls.values()]) this.refuseIfTooLong(call);
+    }
   }
 
   /** Stops admitting requests; queued and running requests continue. */
@@ -143,7 +146,8 @@
       this.refuseOffer(received, 'deadline');
       return;
     }
-    if (this.stopLimit.mayBeExceededBy(offer, transitMs)) {
+    const deadlineAtMs = performance.now() - transitMs + offer.remainingMs;
+    if (this.stopLimit.mayBeExceededBy(offer.isIdempotent, deadlineAtMs)) {
       this.refuseOffer(received, 'stopping');
       return;
     }
@@ -161,6 +165,15 @@
     this.schedule(link, offer, session, fingerprint, transitMs);
   }
 
+  private refuseIfTooLong(call: Call): void {
+    const {offer, session, job, isRunning} = call;
+    const {isIdempotent} = offer;
+    if (isRunning) return;
+    if (!this.stopLimit.mayBeExceededBy(isIdempotent, job.deadlineAtMs)) return;
+    session.scheduler.cancel(job);
+    this.settleRefusal(call, 'stopping', false);
+  }
+
   private checkAdmission(
     session: RelayTargetSession | undefined,
     serviceId: ServiceId,
--- a/packages/relay/src/stop_limit.ts
+++ b/packages/relay/src/stop_limit.ts
@@ -1,6 +1,5 @@
 /** Limits the runs that a stopping process starts. */
 
-import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import {TARGET_RESPONSE_GRACE_MS} from './constants.js';
 
 /** Time by which runs must have ended, once the process stops. */
@@ -15,9 +14,8 @@
    * Whether a request that can't be repeated may still run at that time. Its entry can
    * offer it to another gate instead.
    */
-  mayBeExceededBy(offer: RelayFrameOf<'offer'>, transitMs: number): boolean {
-    if (offer.isIdempotent) return false;
-    const deadlineAtMs = performance.now() - transitMs + offer.remainingMs;
+  mayBeExceededBy(isIdempotent: boolean, deadlineAtMs: number): boolean {
+    if (isIdempotent) return false;
     return deadlineAtMs + TARGET_RESPONSE_GRACE_MS > this.serveUntilMs;
   }
 }
