Read an idle connection before closing it for its timeout

Found by review: with a late event loop, a request on a kept connection that had arrived long before its idle timeout was reset unread (2 of 2 in a trial), since the runtime's timer ran before the sockets were polled.

The server now polls when the timer fires, and closes the connection only if nothing has arrived. Test: "Caller server with a late event loop answers a request that arrived before its connection timed out", listed red before.

--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -88,6 +88,10 @@
     this.server.on('clientError', (error, socket) =>
       this.handleInvalidRequest(error, socket),
     );
+    this.server.on(
+      'timeout',
+      (socket: Socket) => void this.closeIfIdle(socket),
+    );
     this.server.requestTimeout = 0;
     this.applyLimits();
   }
@@ -189,6 +193,13 @@
     observer.log('warn', COMPONENT, 'cut', {...request});
   }
 
+  // A late event loop runs the timer of an idle connection before it reads what has
+  // arrived on it.
+  private async closeIfIdle(socket: Socket): Promise<void> {
+    await pollSockets();
+    if (this.connections.get(socket)?.isIdle() === true) socket.destroy();
+  }
+
   // The runtime would respond in place of a request that is still in flight.
   private handleInvalidRequest(error: Error, socket: Duplex): void {
     const connection = this.findConnection(socket);
