Respond to the requests before a CONNECT

Found by review: a caller that sent CONNECT behind a request got no response to that request, as the runtime closes the connection at once if nothing listens for the method.

It is treated like bytes that are no request: the requests before it have their responses, then it is rejected. Test: "Pipelined requests have their responses although a CONNECT follows", listed red before.

--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -51,6 +51,7 @@
 const LINGER_TIMEOUT_MS = 1_000;
 /** Duration of a poll from which on more may have arrived meanwhile. */
 const LATE_POLL_MS = 20;
+const CONNECT_UNSUPPORTED = new Error('CONNECT is not supported');
 const MS_PER_SECOND = 1_000;
 
 /** A request that is being served. */
@@ -92,6 +93,9 @@
       'timeout',
       (socket: Socket) => void this.closeIfIdle(socket),
     );
+    this.server.on('connect', (_request, socket) =>
+      this.handleInvalidRequest(CONNECT_UNSUPPORTED, socket),
+    );
     this.server.requestTimeout = 0;
     this.applyLimits();
   }
