Let a target that has left complete its runs

Found by review: requests that a leaving target was still running were lost (502) as soon as the next start at its address announced itself, since the gate closed all connections to the earlier one.

The connections of a target that has said that it leaves are closed once their requests have ended; their deadlines bound that. One that has not left is gone, and its runs are given up at once as before.

--- a/packages/relay/src/target_announcement.test.ts
+++ b/packages/relay/src/target_announcement.test.ts
@@ -26,6 +26,10 @@
   close(): Promise<void> {
     return Promise.resolve();
   }
+
+  closeWhenIdle(): Promise<void> {
+    return Promise.resolve();
+  }
 }
 
 function newLocalTarget(
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -56,6 +56,8 @@
   probe(): Promise<boolean>;
   /** Closes all connections at once. */
   close(): Promise<void>;
+  /** Closes the connections once their requests have ended. */
+  closeWhenIdle(): Promise<void>;
 }
 
 /** Keep-alive timeout for a target that advertises none. */
@@ -117,6 +119,10 @@
     return this.pool.destroy();
   }
 
+  closeWhenIdle(): Promise<void> {
+    return this.pool.close();
+  }
+
   // undici treats a connection reset as the end of a response without a length.
   private async exchange(
     dispatcher: Dispatcher,
--- a/packages/relay/src/target_session.ts
+++ b/packages/relay/src/target_session.ts
@@ -171,9 +171,11 @@
   /** Ends the session because another start took over the address. */
   end(): void {
     if (this.state === 'ended') return;
+    // A target that has left completes its runs; one that has not is gone.
+    const completesRuns = this.state === 'draining';
     this.state = 'ended';
     this.scheduler.close();
-    void this.client.close();
+    void (completesRuns ? this.client.closeWhenIdle() : this.client.close());
     this.onStateChange();
   }
 
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -119,6 +119,10 @@
     return Promise.resolve();
   }
 
+  closeWhenIdle(): Promise<void> {
+    return Promise.resolve();
+  }
+
   /** Delivers the first ping of a link, which is not delayed. */
   ping(): void {
     const sentAtMs = performance.now();
--- a/packages/test-support/src/load_model/modelled_target.ts
+++ b/packages/test-support/src/load_model/modelled_target.ts
@@ -53,6 +53,10 @@
     return Promise.resolve();
   }
 
+  closeWhenIdle(): Promise<void> {
+    return Promise.resolve();
+  }
+
   private simulateWork(
     kind: RequestKind,
     signal: AbortSignal,
