--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -164,7 +164,7 @@
     const socket = connect({host: HOST, port});
     const received = readToEnd(socket);
     socket.write(`${newHead('/1')}CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n`);
-    setTimeout(() => socket.end(), 200);
+    socket.once('data', () => socket.end());
     const text = await received;
     server.stopAccepting();
     expect(text).to.match(/response-id: \/1/i);
