Check a link for silence only after reading what has arrived

Found by review: after a delay of the event loop of 1.5 s with a ping out, an entry ended a link whose replies lay in its socket, and every request on it was lost. The periodic check is a timer, and a late turn runs timers before it polls sockets.

A check that comes late is skipped once, so that the loop reads first.

--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -17,6 +17,7 @@
   LINK_PING_INTERVAL_MS,
   LINK_SUSPECT_AFTER_MS,
   LINK_VERIFY_AFTER_MS,
+  SWEEP_INTERVAL_MS,
 } from './constants.js';
 import type {LossReason} from './outcome.js';
 import type {TargetStart} from './target_announcement.js';
@@ -76,6 +77,8 @@
 const MAX_WAIT_REPORTS = 1_024;
 /** Half-life of the failure rate while no requests complete. */
 const FAILURE_HALF_LIFE_MS = 3_000;
+/** Time since the last periodic check from which on the event loop is late. */
+const LATE_SWEEP_MS = 4 * SWEEP_INTERVAL_MS;
 /** Weight of one outcome in the failure rate. */
 const FAILURE_WEIGHT = 0.1;
 
@@ -99,6 +102,8 @@
   private busySinceMs = 0;
   /** Time of the first ping that no frame has followed yet. */
   private pingedAtMs: number | undefined;
+  private sweptAtMs = 0;
+  private isSweepSkipped = false;
   private warmUpEndsAtMs = 0;
   /** Latest wait reported by the gate, by route. */
   private readonly waitReports = new Map<RuleId, WaitReport>();
@@ -233,6 +238,12 @@
   sweep(): void {
     if (!this.isOpen) return;
     const nowMs = performance.now();
+    const sinceSweepMs = nowMs - this.sweptAtMs;
+    this.sweptAtMs = nowMs;
+    // Frames that arrived during a delay of the event loop are read after this turn. A
+    // loop that is always late must still notice silent links.
+    this.isSweepSkipped = sinceSweepMs > LATE_SWEEP_MS && !this.isSweepSkipped;
+    if (this.isSweepSkipped) return;
     if (this.pingedAtMs !== undefined) {
       this.checkPing(nowMs - this.pingedAtMs);
       return;
