Wait for the deregistration in the test of a draining target

"sends no new requests to a draining target" failed once beside other work (expected 2 to equal 1). It counted runs from 50 ms after it had told the target to drain; a target that handles that later has not deregistered yet and rightly gets requests: with its handling delayed by 200 ms the test failed in 2 of 2 runs (expected 21 to equal 1).

It counts from the deregistration at the daemon now, which is when the promise begins; with the same delay it passes in 2 of 2 runs. "Caller server closes unused connections" (once ECONNRESET in 7 runs of the review beside busy processes) waits until the server has read what was sent instead of 50 ms.

--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -151,7 +151,7 @@
     const started = connect({host: HOST, port});
     await Promise.all([once(unused, 'connect'), once(started, 'connect')]);
     started.write('GET / HTTP/1.1\r\n');
-    await new Promise(resolve => setTimeout(resolve, 50));
+    await server.readArrived(Infinity);
     server.requestClose(Infinity);
     server.stopAccepting();
     unused.resume();
--- a/packages/test-support/src/system/failures.test.ts
+++ b/packages/test-support/src/system/failures.test.ts
@@ -118,7 +118,14 @@
     });
     await waitFor('order to run', () => hasRun(ordersA, '/orders/long'));
     const drained = ordersA.target?.drain();
-    await sleep(50);
+    // A busy machine takes its time until the target has deregistered.
+    await waitFor('target to be deregistered', async () => {
+      const {daemon} = ordersA;
+      const {instanceId} = daemon.options;
+      const members = await daemon.readMembers();
+      const self = members.find(member => member.instanceId === instanceId);
+      return self?.state !== 'serving' || self.serviceId !== 'orders';
+    });
     const runCountBefore = ordersA.target?.runs.length;
     for (let call = 0; call < 20; call += 1) {
       const {result} = await history.call(catalogueA.daemon.getEntryUrl(), {
