Name only the requests behind a response without a length as cut

Requests that are answered out of order can be ahead of the response that closes their connection; they still get their own, but were logged as cut as well. Only the log changes.

Test: "Requests cut by a stop are logged behind a response without a length, those before it are not"; without the change it names a, c.

--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -146,11 +146,14 @@
     return this.unwritten.size;
   }
 
-  /** Describes the requests in flight other than the given one. */
-  describeInFlight(except?: ServerResponse): UnansweredRequest[] {
+  /** Describes the requests in flight behind the given one, or all of them. */
+  describeInFlight(first?: ServerResponse): UnansweredRequest[] {
     const nowMs = performance.now();
-    const others = [...this.unwritten].filter(([each]) => each !== except);
-    return others.map(([response, request]) => ({
+    const firstPosition = (first && this.unwritten.get(first)?.position) ?? 0;
+    const behind = [...this.unwritten].filter(
+      ([, {position}]) => position > firstPosition,
+    );
+    return behind.map(([response, request]) => ({
       requestId: request.requestId,
       ageMs: Math.round(nowMs - request.admittedAtMs),
       connectionAgeMs: Math.round(nowMs - this.openedAtMs),
--- a/packages/relay/src/cut_requests.test.ts
+++ b/packages/relay/src/cut_requests.test.ts
@@ -53,4 +53,28 @@
     });
     expect(line?.ageMs).to.be.at.most(Number(line?.connectionAgeMs));
   });
+
+  // Requests behind a response without a length are cut with its connection.
+  it('are logged behind a response without a length, those before it are not', async () => {
+    const log = new CutLog();
+    const {server, port} = await listen(
+      async ({path}) => {
+        const delayMs = path === '/2' ? 10 : 60;
+        await new Promise(resolve => setTimeout(resolve, delayMs));
+        return answer(path, path !== '/2');
+      },
+      DEFAULT_CALLER_LIMITS,
+      0,
+      log,
+      () => true,
+    );
+    const socket = connect({host: HOST, port});
+    const newHead = (path: string, id: string) =>
+      `GET ${path} HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\n\r\n`;
+    socket.write(newHead('/1', 'a') + newHead('/2', 'b') + newHead('/3', 'c'));
+    socket.resume();
+    await new Promise(resolve => socket.once('close', resolve));
+    server.stopAccepting();
+    expect(log.lines.map(({requestId}) => requestId)).to.deep.equal(['c']);
+  });
 });
