--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -1,22 +1,17 @@
 import {once} from 'node:events';
-import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import {expect} from 'chai';
 import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
 import type {RelayOutcome} from './outcome.js';
-import {HOST, answer, listen} from './testing/caller_server_fixture.js';
+import {
+  HOST,
+  answer,
+  listen,
+  readToEnd,
+} from './testing/caller_server_fixture.js';
 
 const newHead = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
 
-/** Returns what a socket receives until its connection ends. */
-async function readToEnd(socket: Socket): Promise<string> {
-  let received = '';
-  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
-  socket.on('error', () => undefined);
-  await new Promise(resolve => socket.once('close', resolve));
-  return received;
-}
-
 function sleep(delayMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, delayMs));
 }
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -5,7 +5,12 @@
 import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
 import type {CallerRequest} from './entry_types.js';
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
-import {HOST, answer, listen} from './testing/caller_server_fixture.js';
+import {
+  HOST,
+  answer,
+  listen,
+  readToEnd,
+} from './testing/caller_server_fixture.js';
 
 /** More than a connection buffers between two processes. */
 const LONG_BODY_BYTES = 32 * 1024 * 1024;
@@ -59,15 +64,6 @@
   return handled - 1;
 }
 
-/** Returns what a socket receives until its connection ends. */
-async function readToEnd(socket: Socket): Promise<string> {
-  let received = '';
-  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
-  socket.on('error', () => undefined);
-  await new Promise(resolve => socket.once('close', resolve));
-  return received;
-}
-
 const FINAL_REQUEST =
   'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n';
 
--- a/packages/relay/src/testing/caller_server_fixture.ts
+++ b/packages/relay/src/testing/caller_server_fixture.ts
@@ -1,7 +1,7 @@
 /** A caller server with a scripted entry. */
 
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
 import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_server.js';
 import type {HeaderCodec} from '../header_codec.js';
@@ -75,3 +75,12 @@
     isFramed,
   };
 }
+
+/** Returns what a socket receives until its connection ends. */
+export async function readToEnd(socket: Socket): Promise<string> {
+  let received = '';
+  socket.on('data', (chunk: Buffer) => (received += chunk.toString()));
+  socket.on('error', () => undefined);
+  await new Promise(resolve => socket.once('close', resolve));
+  return received;
+}
