--- a/packages/coordination/src/actors/published_state.ts
+++ b/packages/coordination/src/actors/published_state.ts
@@ -3,11 +3,16 @@
  * sending a message to an actor.
  */
 
-import type {ConfigurationState, RouteTable} from '@cassiaknot/inventory';
+import type {
+  ConfigurationState,
+  RouteTable,
+  WorkspaceIndex,
+} from '@cassiaknot/inventory';
 import {
   EMPTY_STATE,
   compileNextRouteTable,
   compileRouteTable,
+  compileWorkspaceIndex,
 } from '@cassiaknot/inventory';
 import type {VersionDigest} from '@cassiaknot/peer-protocol';
 import type {SkippedVersion} from '../config_replica.js';
@@ -15,10 +20,11 @@
 import {EMPTY_MEMBERSHIP_VIEW} from '../membership_view.js';
 import type {OverlayPlan} from '../overlay_plan.js';
 
-/** A configuration version with its compiled routes. */
+/** A configuration version with its compiled routes and workspaces. */
 export interface PublishedConfiguration {
   readonly state: ConfigurationState;
   readonly routes: RouteTable;
+  readonly workspaces: WorkspaceIndex;
 }
 
 /** Latest published state of the control plane. */
@@ -26,6 +32,7 @@
   private configuration: PublishedConfiguration = {
     state: EMPTY_STATE,
     routes: compileRouteTable(EMPTY_STATE),
+    workspaces: compileWorkspaceIndex(EMPTY_STATE),
   };
   private tip: VersionDigest = {version: 0, digest: EMPTY_STATE.digest};
   private announcedVersion = 0;
@@ -65,6 +72,7 @@
     this.configuration = {
       state,
       routes: compileNextRouteTable(before, routes, state),
+      workspaces: compileWorkspaceIndex(state),
     };
   }
 
--- a/packages/inventory/src/constants.ts
+++ b/packages/inventory/src/constants.ts
@@ -13,5 +13,9 @@
 export const DEFAULT_QUEUE_LIMIT = 64;
 /** Matching priority of a rule that sets none; lower numbers match first. */
 export const DEFAULT_RULE_PRIORITY = 100;
+/** Length of a digest, in characters. */
+export const KEY_DIGEST_CHARS = 22;
+/** Maximum number of keys of one workspace. */
+export const MAX_WORKSPACE_KEYS = 10_000;
 /** Maximum number of records in a state that a daemon is built to hold. */
 export const MAX_RECORDS = 20_000;
--- a/packages/inventory/src/ids.ts
+++ b/packages/inventory/src/ids.ts
@@ -18,6 +18,8 @@
 export type RuleId = Branded<'RuleId'>;
 /** Identifies a set of limits on callers. */
 export type LimitsId = Branded<'LimitsId'>;
+/** Identifies a workspace, whose callers share keys and limits. */
+export type WorkspaceId = Branded<'WorkspaceId'>;
 /** Identifies a change of the configuration; never reused. */
 export type ChangeId = Branded<'ChangeId'>;
 /** Identifies an instance; kept across restarts of the daemon on it. */
--- a/packages/inventory/src/index.ts
+++ b/packages/inventory/src/index.ts
@@ -7,4 +7,5 @@
 export * from './change.js';
 export * from './validate_state.js';
 export * from './route_table.js';
+export * from './workspace_index.js';
 export * from './parse_inventory.js';
--- a/packages/inventory/src/parse_inventory.ts
+++ b/packages/inventory/src/parse_inventory.ts
@@ -24,6 +24,7 @@
   'service',
   'rule',
   'caller-limits',
+  'workspace',
 ];
 
 /** Record field for each setting; other settings are named as their field. */
--- a/packages/inventory/src/records.ts
+++ b/packages/inventory/src/records.ts
@@ -1,6 +1,6 @@
 /**
  * Schemas and types of the records that make up a configuration: data centres,
- * owners, services, rules and limits on callers.
+ * owners, services, rules, workspaces and limits on callers.
  */
 
 import {z} from 'zod';
@@ -9,16 +9,20 @@
   DEFAULT_RULE_PRIORITY,
   DEFAULT_TIMEOUT_MS,
   ID_PATTERN,
+  KEY_DIGEST_CHARS,
   MAX_ID_CHARS,
+  MAX_WORKSPACE_KEYS,
 } from './constants.js';
 import type {
   Branded,
   DataCentreId,
+  Digest,
   LimitsId,
   OwnerId,
   RecordKey,
   RuleId,
   ServiceId,
+  WorkspaceId,
 } from './ids.js';
 import {brandId} from './ids.js';
 
@@ -73,6 +77,8 @@
   id: idSchema<RuleId>(),
   /** Whether requests are idempotent; derived from the method if omitted. */
   isIdempotent: z.boolean().optional(),
+  /** Whether requests need no key of a workspace. */
+  isPublic: z.boolean().optional(),
   kind: z.literal('rule'),
   /** Latency objective: a response within this time counts as on time. */
   latencyObjectiveMs: z.number().int().min(1).max(600_000).optional(),
@@ -100,6 +106,24 @@
   urgency: z.number().int().min(0).max(1_000).optional(),
 });
 
+const KEY_DIGEST_SCHEMA = z
+  .string()
+  .length(KEY_DIGEST_CHARS)
+  .transform(value => brandId<Digest>(value));
+
+const WORKSPACE_SCHEMA = z.strictObject({
+  /** Requests that may exceed the rate at once, over all instances. */
+  burst: z.number().min(0).max(1_000_000_000).optional(),
+  id: idSchema<WorkspaceId>(),
+  /** Digests of the keys that callers send; sorted, without duplicates. */
+  keyDigests: z.array(KEY_DIGEST_SCHEMA).max(MAX_WORKSPACE_KEYS),
+  kind: z.literal('workspace'),
+  /** Limit over all instances; unlimited if omitted. */
+  ratePerSecond: z.number().gt(0).max(1_000_000_000).optional(),
+  /** Ranks before the urgency of the rule; 0 is served first. */
+  urgency: z.number().int().min(0).max(1_000).optional(),
+});
+
 const CALLER_LIMITS_SCHEMA = z.strictObject({
   headerTimeoutMs: z.number().int().min(1).max(600_000),
   id: idSchema<LimitsId>(),
@@ -116,6 +140,7 @@
   SERVICE_SCHEMA,
   RULE_SCHEMA,
   CALLER_LIMITS_SCHEMA,
+  WORKSPACE_SCHEMA,
 ]);
 
 /** A data centre and its region. */
@@ -128,6 +153,8 @@
 export type RuleRecord = z.infer<typeof RULE_SCHEMA>;
 /** Limits on the requests and connections of callers. */
 export type CallerLimitsRecord = z.infer<typeof CALLER_LIMITS_SCHEMA>;
+/** A group of callers with keys, limits and an urgency of its own. */
+export type WorkspaceRecord = z.infer<typeof WORKSPACE_SCHEMA>;
 /** A record of any kind. */
 export type InventoryRecord = z.infer<typeof RECORD_SCHEMA>;
 /** Discriminator of {@link InventoryRecord}. */
--- a/packages/inventory/src/validate_state.ts
+++ b/packages/inventory/src/validate_state.ts
@@ -125,6 +125,7 @@
     case 'data-centre':
     case 'owner':
     case 'caller-limits':
+    case 'workspace':
       return [];
     case 'service':
       return getServiceReferences(record);
--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -5,7 +5,7 @@
  */
 
 import {brandId} from '@cassiaknot/inventory';
-import type {Branded, RuleId} from '@cassiaknot/inventory';
+import type {Branded, RuleId, WorkspaceId} from '@cassiaknot/inventory';
 import {Packr} from 'msgpackr';
 import type {Result} from 'ts-results-es';
 import {Err, Ok} from 'ts-results-es';
@@ -59,6 +59,11 @@
   urgency: z.number().int().min(0),
   isIdempotent: z.boolean(),
   ...CLOCK_FIELDS,
+  /** Workspace of the caller, if its request carried a key. */
+  workspaceId: z
+    .string()
+    .transform(value => brandId<WorkspaceId>(value))
+    .optional(),
 });
 
 /**
--- a/packages/proxy/src/entry.test.ts
+++ b/packages/proxy/src/entry.test.ts
@@ -9,6 +9,7 @@
   RECORD_SCHEMA,
   brandId,
   compileRouteTable,
+  compileWorkspaceIndex,
   indexRecords,
   newState,
 } from '@cassiaknot/inventory';
@@ -45,6 +46,7 @@
 const CONFIGURATION: PublishedConfiguration = {
   state: STATE,
   routes: compileRouteTable(STATE),
+  workspaces: compileWorkspaceIndex(STATE),
 };
 
 const ANSWERED: ProxyOutcome = {
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -170,6 +170,7 @@
       maxAttempts: rule.maxAttempts ?? DEFAULT_MAX_ATTEMPTS,
       urgency: rule.urgency ?? DEFAULT_URGENCY,
       version,
+      workspace: undefined,
     };
   }
 
--- a/packages/relay/src/entry_types.ts
+++ b/packages/relay/src/entry_types.ts
@@ -1,7 +1,7 @@
 /** Types shared by the entry and the requests that it routes. */
 
 import type {PublishedConfiguration} from '@cassiaknot/coordination';
-import type {RuleId, ServiceId} from '@cassiaknot/inventory';
+import type {RuleId, ServiceId, WorkspaceRecord} from '@cassiaknot/inventory';
 import type {KeyedEwma, SlidingRetryBudget} from '@cassiaknot/routing';
 import type {GateDirectory} from './gate_directory.js';
 import type {RelayObserver} from './observer.js';
@@ -55,9 +55,27 @@
   readonly objectiveMs: number;
   readonly maxAttempts: number;
   readonly urgency: number;
+  /** Workspace of the caller; undefined if the request carries no known key. */
+  readonly workspace: WorkspaceRecord | undefined;
   readonly version: number;
 }
 
+/** Whether the quota of a workspace has room for a request. */
+export type QuotaAdmission =
+  | {readonly isAdmitted: true}
+  | {readonly isAdmitted: false; readonly retryAfterMs: number};
+
+/** Enforces the quotas of workspaces over all instances. */
+export interface QuotaGate {
+  /** Takes a permit for one request of a workspace. */
+  acquire(
+    workspace: WorkspaceRecord,
+    nowMs: number,
+  ): QuotaAdmission | Promise<QuotaAdmission>;
+  /** Returns the permit of a request that was certainly not run. */
+  release(workspace: WorkspaceRecord, nowMs: number): void;
+}
+
 /** State shared by all requests of one entry. */
 export interface EntryContext {
   readonly options: RelayEntryOptions;
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -4,6 +4,8 @@
 export type RefusalReason =
   | 'no-configuration'
   | 'no-route'
+  | 'unknown-key'
+  | 'over-quota'
   | 'version-behind'
   | 'no-target'
   | 'overloaded'
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -12,6 +12,7 @@
   RECORD_SCHEMA,
   brandId,
   compileRouteTable,
+  compileWorkspaceIndex,
   newStateFromRecords,
 } from '@cassiaknot/inventory';
 import type {
@@ -205,7 +206,11 @@
 
 export function newEmptyConfiguration(): PublishedConfiguration {
   const state = newStateFromRecords(0, []);
-  return {state, routes: compileRouteTable(state)};
+  return {
+    state,
+    routes: compileRouteTable(state),
+    workspaces: compileWorkspaceIndex(state),
+  };
 }
 
 export function newConfiguration(
@@ -227,7 +232,11 @@
     },
   ].map(record => RECORD_SCHEMA.parse(record));
   const state = newStateFromRecords(1, records);
-  return {state, routes: compileRouteTable(state)};
+  return {
+    state,
+    routes: compileRouteTable(state),
+    workspaces: compileWorkspaceIndex(state),
+  };
 }
 
 export async function handle(
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -34,6 +34,8 @@
 
 /** A request for a slot. */
 export interface Job extends JobPriority {
+  /** Group that shares the slots fairly with others; undefined for its own group. */
+  readonly workspaceId?: string | undefined;
   /** Longest wait that the sender accepts at this target. */
   readonly maxWaitMs: number;
   /** Called once when the job gets a slot. */
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -12,6 +12,7 @@
   RECORD_SCHEMA,
   brandId,
   compileRouteTable,
+  compileWorkspaceIndex,
   newStateFromRecords,
 } from '@cassiaknot/inventory';
 import type {
@@ -282,7 +283,11 @@
     ...scenario.kinds.map(toRule),
   ].map(record => RECORD_SCHEMA.parse(record));
   const state = newStateFromRecords(1, records);
-  return {state, routes: compileRouteTable(state)};
+  return {
+    state,
+    routes: compileRouteTable(state),
+    workspaces: compileWorkspaceIndex(state),
+  };
 }
 
 function toRule(kind: RequestKind): unknown {
