Validate and index workspaces incrementally

Each version rebuilt the index of all keys, a change of a workspace recompiled all routes, and a state in which two workspaces hold a key was valid. Priorities of workspaces may exceed those of rules.

--- a/packages/coordination/src/actors/published_state.ts
+++ b/packages/coordination/src/actors/published_state.ts
@@ -12,6 +12,7 @@
   EMPTY_STATE,
   compileNextRouteTable,
   compileRouteTable,
+  compileNextWorkspaceIndex,
   compileWorkspaceIndex,
 } from '@cassiaknot/inventory';
 import type {VersionDigest} from '@cassiaknot/peer-protocol';
@@ -67,12 +68,12 @@
         `Configuration version must not decrease from ${this.configuration.state.version} to ${state.version}`,
       );
     }
-    const {state: before, routes} = this.configuration;
+    const {state: before, routes, workspaces} = this.configuration;
     if (state === before) return;
     this.configuration = {
       state,
       routes: compileNextRouteTable(before, routes, state),
-      workspaces: compileWorkspaceIndex(state),
+      workspaces: compileNextWorkspaceIndex(before, workspaces, state),
     };
   }
 
--- a/packages/inventory/src/constants.ts
+++ b/packages/inventory/src/constants.ts
@@ -13,6 +13,8 @@
 export const DEFAULT_QUEUE_LIMIT = 64;
 /** Matching priority of a rule that sets none; lower numbers match first. */
 export const DEFAULT_RULE_PRIORITY = 100;
+/** Highest urgency of a rule; higher numbers are served later. */
+export const MAX_RULE_URGENCY = 1_000;
 /** Length of a digest, in characters. */
 export const KEY_DIGEST_CHARS = 22;
 /** Maximum number of keys of one workspace. */
--- a/packages/inventory/src/index.ts
+++ b/packages/inventory/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './ids.js';
 export * from './records.js';
+export {MAX_RULE_URGENCY} from './constants.js';
 export * from './digest.js';
 export * from './state.js';
 export * from './change.js';
--- a/packages/inventory/src/inventory.test.ts
+++ b/packages/inventory/src/inventory.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {diffStates, getTouchedKeys} from './change.js';
+import {digestText} from './digest.js';
 import {formatInventory, parseInventory} from './parse_inventory.js';
 import type {InventoryRecord} from './records.js';
 import {RECORD_SCHEMA} from './records.js';
@@ -34,6 +35,19 @@
       pathPrefix: fc.constantFrom('/', '/a', '/a/b'),
       priority: fc.nat(3),
     }),
+    fc.record(
+      {
+        kind: fc.constant('workspace'),
+        id: IDS,
+        keyDigests: fc.array(fc.string().map(digestText), {
+          minLength: 1,
+          maxLength: 3,
+        }),
+        ratePerSecond: fc.integer({min: 1, max: 500}),
+        urgency: fc.nat(3),
+      },
+      {requiredKeys: ['kind', 'id', 'keyDigests']},
+    ),
   )
   .map(record => RECORD_SCHEMA.parse(record));
 
--- a/packages/inventory/src/next_state.test.ts
+++ b/packages/inventory/src/next_state.test.ts
@@ -1,11 +1,16 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {newChange} from './change.js';
+import {digestText} from './digest.js';
 import type {InventoryRecord} from './records.js';
 import {RECORD_SCHEMA, makeRecordKey} from './records.js';
 import {compileNextRouteTable, compileRouteTable} from './route_table.js';
 import {applyChange, newStateFromRecords} from './state.js';
 import {validateNextState, validateState} from './validate_state.js';
+import {
+  compileNextWorkspaceIndex,
+  compileWorkspaceIndex,
+} from './workspace_index.js';
 
 const SEED = 20261206;
 const RUN_COUNT = 400;
@@ -35,6 +40,15 @@
   })
   .map(rule => RECORD_SCHEMA.parse({kind: 'rule', ...rule}));
 
+const WORKSPACES = fc
+  .record({
+    id: fc.constantFrom('w1', 'w2', 'w3'),
+    keyDigests: fc
+      .subarray(['key-1', 'key-2', 'key-3', 'key-4'])
+      .map(keys => keys.map(digestText).sort()),
+  })
+  .map(workspace => RECORD_SCHEMA.parse({kind: 'workspace', ...workspace}));
+
 const STEPS = fc.array(
   fc.record({
     puts: fc.array(
@@ -42,6 +56,7 @@
         {weight: 6, arbitrary: RULES},
         {weight: 1, arbitrary: fc.constant(newService('s1'))},
         {weight: 1, arbitrary: fc.constant(newService('s2', 'nobody'))},
+        {weight: 2, arbitrary: WORKSPACES},
       ),
       {maxLength: 3},
     ),
@@ -49,6 +64,7 @@
       makeRecordKey('rule', 'r1'),
       makeRecordKey('rule', 'r2'),
       makeRecordKey('service', 's2'),
+      makeRecordKey('workspace', 'w1'),
     ]),
   }),
   {maxLength: 12},
@@ -60,6 +76,7 @@
       const first = [...OWNERS, newService('s1'), newService('s2')];
       let valid = newStateFromRecords(1, first);
       let table = compileRouteTable(valid);
+      let index = compileWorkspaceIndex(valid);
       let tip = valid;
       for (const {puts, removes} of steps) {
         const change = newChange('a', tip.version, puts, removes);
@@ -69,6 +86,8 @@
         if (problems.length > 0) continue;
         table = compileNextRouteTable(valid, table, tip);
         expect(table).to.deep.equal(compileRouteTable(tip));
+        index = compileNextWorkspaceIndex(valid, index, tip);
+        expect(index).to.deep.equal(compileWorkspaceIndex(tip));
         valid = tip;
       }
     });
--- a/packages/inventory/src/parse_inventory.ts
+++ b/packages/inventory/src/parse_inventory.ts
@@ -37,9 +37,11 @@
   service: 'serviceId',
   path_prefix: 'pathPrefix',
   health_path: 'healthPath',
+  key_digests: 'keyDigests',
   max_connections: 'maxConnections',
   latency_objective_ms: 'latencyObjectiveMs',
   max_attempts: 'maxAttempts',
+  rate_per_second: 'ratePerSecond',
   max_header_bytes: 'maxHeaderBytes',
   max_body_bytes: 'maxBodyBytes',
   header_timeout_ms: 'headerTimeoutMs',
@@ -48,6 +50,7 @@
 const LIST_FIELDS: ReadonlySet<string> = new Set([
   'dataCentreIds',
   'shedStatuses',
+  'keyDigests',
 ]);
 const NUMBER_FIELDS: ReadonlySet<string> = new Set([
   'timeoutMs',
@@ -57,6 +60,8 @@
   'maxConnections',
   'latencyObjectiveMs',
   'maxAttempts',
+  'ratePerSecond',
+  'burst',
   'urgency',
   'maxHeaderBytes',
   'maxBodyBytes',
@@ -93,7 +98,7 @@
 
 /**
  * Formats records as INI text that {@link parseInventory} can read, except for
- * rules with `split` or `isIdempotent`, which the format cannot express.
+ * rules with `split`, `isIdempotent` or `isPublic`, which the format cannot express.
  */
 export function formatInventory(
   records: ReadonlyMap<RecordKey, InventoryRecord>,
--- a/packages/inventory/src/records.ts
+++ b/packages/inventory/src/records.ts
@@ -11,6 +11,7 @@
   ID_PATTERN,
   KEY_DIGEST_CHARS,
   MAX_ID_CHARS,
+  MAX_RULE_URGENCY,
   MAX_WORKSPACE_KEYS,
 } from './constants.js';
 import type {
@@ -103,7 +104,7 @@
   /** Limit on the time that a caller waits for a response. */
   timeoutMs: z.number().int().min(1).max(600_000).optional(),
   /** Order in which requests are served under load; 0 is served first. */
-  urgency: z.number().int().min(0).max(1_000).optional(),
+  urgency: z.number().int().min(0).max(MAX_RULE_URGENCY).optional(),
 });
 
 const KEY_DIGEST_SCHEMA = z
@@ -121,7 +122,7 @@
   /** Limit over all instances; unlimited if omitted. */
   ratePerSecond: z.number().gt(0).max(1_000_000_000).optional(),
   /** Ranks before the urgency of the rule; 0 is served first. */
-  urgency: z.number().int().min(0).max(1_000).optional(),
+  urgency: z.number().int().min(0).max(1_000_000).optional(),
 });
 
 const CALLER_LIMITS_SCHEMA = z.strictObject({
--- a/packages/inventory/src/route_table.ts
+++ b/packages/inventory/src/route_table.ts
@@ -61,7 +61,11 @@
   after: ConfigurationState,
 ): RouteTable {
   const {puts, removals} = compareStates(before, after);
-  const changed = [...puts, ...removals];
+  // No route depends on a workspace.
+  const changed = [...puts, ...removals].filter(
+    ({kind}) => kind !== 'workspace',
+  );
+  if (changed.length === 0) return {...table, version: after.version};
   if (changed.length > MAX_DERIVED_CHANGES) return compileRouteTable(after);
   const hosts = new Set<string>();
   const changedIds = new Set<RuleId>();
--- a/packages/inventory/src/validate_state.ts
+++ b/packages/inventory/src/validate_state.ts
@@ -1,14 +1,20 @@
 /**
  * Validates a state: its references resolve within it, no two of its rules are
- * ambiguous, and its size is within the limit. Runs before a change is accepted
+ * ambiguous, no two of its workspaces hold a key, and its size is within the limit. Runs before a change is accepted
  * and again on every daemon.
  */
 
 import {MAX_RECORDS} from './constants.js';
-import type {RecordKey} from './ids.js';
-import type {InventoryRecord, RuleRecord, ServiceRecord} from './records.js';
+import type {Digest, RecordKey} from './ids.js';
+import type {
+  InventoryRecord,
+  RuleRecord,
+  ServiceRecord,
+  WorkspaceRecord,
+} from './records.js';
 import {getRecordKey, getRuleServiceIds, makeRecordKey} from './records.js';
 import type {ConfigurationState} from './state.js';
+import {getRecordsOfKind} from './state.js';
 import {compareStates} from './state_difference.js';
 
 /** Changed records up to which only these are validated. */
@@ -28,6 +34,13 @@
   readonly otherKey: RecordKey;
 }
 
+/** A workspace with a key that another one holds, or that it holds twice. */
+export interface SharedKey {
+  readonly kind: 'shared-key';
+  readonly recordKey: RecordKey;
+  readonly otherKey: RecordKey;
+}
+
 /** A state with more records than a daemon is built to hold. */
 export interface TooManyRecords {
   readonly kind: 'too-many-records';
@@ -36,7 +49,7 @@
 
 /** A reason why a state must not take effect. */
 export type ValidationProblem =
-  DanglingReference | AmbiguousRule | TooManyRecords;
+  DanglingReference | AmbiguousRule | SharedKey | TooManyRecords;
 
 /** Returns all problems of a state; none if it is valid. */
 export function validateState(state: ConfigurationState): ValidationProblem[] {
@@ -51,6 +64,7 @@
     const problem = registerRuleMatch(ruleKeyByMatch, record);
     if (problem) problems.push(problem);
   }
+  problems.push(...findSharedKeys(state));
   return problems;
 }
 
@@ -66,10 +80,14 @@
   const isSmall = puts.length + removals.length <= MAX_VALIDATED_CHANGES;
   if (!isSmall || next.records.size > MAX_RECORDS) return validateState(next);
   for (const removed of removals) {
-    // No record refers to a rule.
-    if (removed.kind === 'rule') continue;
+    // No record refers to a rule or a workspace.
+    if (removed.kind === 'rule' || removed.kind === 'workspace') continue;
     if (!next.records.has(getRecordKey(removed))) return validateState(next);
   }
+  const hasNewWorkspace = puts.some(({kind}) => kind === 'workspace');
+  if (hasNewWorkspace && findSharedKeys(next).length > 0) {
+    return validateState(next);
+  }
   for (const record of puts) {
     const isValid =
       findDanglingReferences(next, record).length === 0 &&
@@ -86,6 +104,10 @@
       return `${problem.recordKey} refers to missing ${problem.missingKey}`;
     case 'ambiguous-rule':
       return `${problem.recordKey} matches the same requests as ${problem.otherKey} at the same priority`;
+    case 'shared-key':
+      return problem.recordKey === problem.otherKey
+        ? `${problem.recordKey} holds a key twice`
+        : `${problem.recordKey} holds a key of ${problem.otherKey}`;
     case 'too-many-records':
       return `the state has ${problem.recordCount} records; the limit is ${MAX_RECORDS}`;
   }
@@ -104,6 +126,26 @@
   return problems;
 }
 
+// One problem for each pair of workspaces, however many keys they share.
+function findSharedKeys(state: ConfigurationState): SharedKey[] {
+  const problems: SharedKey[] = [];
+  const holders = new Map<Digest, WorkspaceRecord>();
+  for (const workspace of getRecordsOfKind(state, 'workspace')) {
+    const others = new Set<WorkspaceRecord>();
+    for (const digest of workspace.keyDigests) {
+      const other = holders.get(digest);
+      if (other) others.add(other);
+      holders.set(digest, workspace);
+    }
+    const recordKey = getRecordKey(workspace);
+    for (const other of others) {
+      const otherKey = getRecordKey(other);
+      problems.push({kind: 'shared-key', recordKey, otherKey});
+    }
+  }
+  return problems;
+}
+
 function hasAmbiguousRule(
   state: ConfigurationState,
   rule: RuleRecord,
--- a/packages/inventory/src/workspace_index.ts
+++ b/packages/inventory/src/workspace_index.ts
@@ -1,10 +1,11 @@
 /** Index of the workspaces of a state, by id and by key. */
 
-import {digestText} from './digest.js';
+import {digestRecord, digestText} from './digest.js';
 import type {Digest, WorkspaceId} from './ids.js';
 import type {WorkspaceRecord} from './records.js';
 import type {ConfigurationState} from './state.js';
 import {getRecordsOfKind} from './state.js';
+import {compareStates} from './state_difference.js';
 
 /** Workspaces of one configuration version. */
 export interface WorkspaceIndex {
@@ -27,6 +28,32 @@
   return {workspaces, workspacesByKeyDigest};
 }
 
+/**
+ * Compiles the index of a state that follows another. The index is kept if no workspace
+ * has changed.
+ */
+export function compileNextWorkspaceIndex(
+  before: ConfigurationState,
+  index: WorkspaceIndex,
+  after: ConfigurationState,
+): WorkspaceIndex {
+  const {puts, removals} = compareStates(before, after);
+  const digestsById = new Map<WorkspaceId, Digest>();
+  for (const record of removals) {
+    if (record.kind !== 'workspace') continue;
+    digestsById.set(record.id, digestRecord(record));
+  }
+  for (const record of puts) {
+    if (record.kind !== 'workspace') continue;
+    // A snapshot replaces all records, most of them by equal ones.
+    if (digestsById.get(record.id) !== digestRecord(record)) {
+      return compileWorkspaceIndex(after);
+    }
+    digestsById.delete(record.id);
+  }
+  return digestsById.size > 0 ? compileWorkspaceIndex(after) : index;
+}
+
 /** Whether requests need a key, unless their rule is public. */
 export function hasWorkspaces(index: WorkspaceIndex): boolean {
   return index.workspaces.size > 0;
