Authenticate callers by the key of their workspace

Requests with keys that no configuration ever held were served, and keys went on to targets. The entry now looks up the key where the version in force has workspaces: 401 without a known one, 503 where none or a newer version may hold it.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -234,11 +234,16 @@
       this.appliedMembership = membership;
       this.gateDirectory.setMembers(membership.records.values());
     }
-    const {version} = this.coordinator.getConfiguration().state;
+    const {state, workspaces} = this.coordinator.getConfiguration();
+    const {version} = state;
     if (version !== this.appliedVersion) {
       this.appliedVersion = version;
       this.callerServer.applyLimits();
-      this.options.log.write('info', 'config', 'in-force', {version});
+      this.options.log.write('info', 'config', 'in-force', {
+        version,
+        workspaces: workspaces.workspaces.size,
+        keys: workspaces.workspacesByKeyDigest.size,
+      });
     }
     this.gateDirectory.sweep();
     this.localTarget.sweep();
@@ -358,6 +363,7 @@
       getConfiguration: () => this.coordinator.getConfiguration(),
       hasNewerVersion: () => this.coordinator.hasNewerVersion(),
       mayRoute: () => this.waitUntilVerified(),
+      workspaceRequestHeaders: headerCodec.workspaceRequestHeaders,
       directory: this.gateDirectory,
       retryBudget: new SlidingRetryBudget(retryBudget),
       getMemberCount: () => countLiveMembers(this.coordinator),
--- a/packages/daemon/src/testing/mesh_daemons.ts
+++ b/packages/daemon/src/testing/mesh_daemons.ts
@@ -40,6 +40,8 @@
 /** Takes every response as the answer to the request. */
 const HEADER_CODEC: HeaderCodec = {
   strippedRequestHeaders: new Set(),
+  workspaceRequestHeaders: new Set(),
+  challenge: 'Bearer',
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: () => ({requestId: '', timeoutMs: undefined}),
   formatTargetHeaders: () => [],
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -18,7 +18,7 @@
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
-import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
+import type {AnsweredOutcome, RefusalReason, RelayOutcome} from './outcome.js';
 import {describeOutcome} from './outcome.js';
 
 /** Limits on requests and connections of callers. */
@@ -53,6 +53,19 @@
 const LATE_POLL_MS = 20;
 const CONNECT_UNSUPPORTED = new Error('CONNECT is not supported');
 const MS_PER_SECOND = 1_000;
+const UNAUTHORIZED_STATUS = 401;
+const UNAVAILABLE_STATUS = 503;
+/** Statuses of refusals; the others have 503. */
+const REFUSAL_STATUSES: ReadonlyMap<RefusalReason, number> = new Map([
+  ['unknown-key', UNAUTHORIZED_STATUS],
+  ['no-route', 404],
+  ['over-quota', 429],
+]);
+/** Refusals whose cause no later attempt removes. */
+const LASTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'unknown-key',
+  'no-route',
+]);
 
 /** A request that is being served. */
 interface CallerExchange {
@@ -313,7 +326,7 @@
     signal: AbortSignal,
   ): Omit<CallerRequest, 'serveUntilMs'> {
     const {headerCodec} = this.options;
-    const {requestId, timeoutMs} = headerCodec.parseCallerHeaders(
+    const {requestId, timeoutMs, key} = headerCodec.parseCallerHeaders(
       request.headers,
     );
     const host = (request.headers.host ?? '').toLowerCase();
@@ -324,6 +337,7 @@
       path: request.url ?? '/',
       headers: filterHeaders(request, headerCodec.strippedRequestHeaders),
       body,
+      key,
       timeoutMs,
       receivedAtMs,
       signal,
@@ -350,9 +364,14 @@
     if (closes) response.setHeader('Connection', 'close');
     switch (outcome.kind) {
       case 'refused': {
-        const isUnknownRoute = outcome.reason === 'no-route';
-        response.statusCode = isUnknownRoute ? 404 : 503;
-        if (!isUnknownRoute) {
+        const {reason} = outcome;
+        const statusCode = REFUSAL_STATUSES.get(reason) ?? UNAVAILABLE_STATUS;
+        response.statusCode = statusCode;
+        if (statusCode === UNAUTHORIZED_STATUS) {
+          const {challenge} = this.options.headerCodec;
+          response.setHeader('WWW-Authenticate', challenge);
+        }
+        if (!LASTING_REFUSALS.has(reason)) {
           const seconds = outcome.retryAfterMs / MS_PER_SECOND;
           response.setHeader('Retry-After', seconds.toFixed(3));
         }
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -1,8 +1,18 @@
 /** Entry point for callers: matches a request to a rule and routes it. */
 
-import type {Route, RuleId, ServiceId} from '@cassiaknot/inventory';
-import {findRoute, getRuleServiceIds} from '@cassiaknot/inventory';
+import type {
+  Route,
+  RuleId,
+  ServiceId,
+  WorkspaceRecord,
+} from '@cassiaknot/inventory';
+import {
+  findRoute,
+  getRuleServiceIds,
+  hasWorkspaces,
+} from '@cassiaknot/inventory';
 import {KeyedEwma, WeightedRoundRobin} from '@cassiaknot/routing';
+import {combineUrgency, dropHeaders, identifyCaller} from './authentication.js';
 import {
   DEFAULT_MAX_ATTEMPTS,
   DEFAULT_OBJECTIVE_MS,
@@ -82,15 +92,23 @@
 
   private async route(request: CallerRequest): Promise<RoutedOutcome> {
     const mayRoute = await this.options.mayRoute();
-    const {state} = this.options.getConfiguration();
+    const {state, workspaces} = this.options.getConfiguration();
     if (state.version === 0 || !mayRoute) {
       const outcome = newRefusal('no-configuration', RETRY_AFTER_MS);
       return {outcome, fields: {version: state.version, mayRoute}};
     }
     const route = this.findRoute(request);
     const {version} = state;
-    if (!route) return {outcome: this.refuseUnknownRoute(), fields: {version}};
-    const plan = this.resolvePlan(route, request, version);
+    if (!route) {
+      return {outcome: this.refuseUnknown('no-route'), fields: {version}};
+    }
+    const identity = identifyCaller(workspaces, route.rule, request.key);
+    const {workspace, keyState} = identity;
+    if (!identity.isAdmitted) {
+      const outcome = this.refuseUnknown('unknown-key');
+      return {outcome, fields: {version, ruleId: route.rule.id, keyState}};
+    }
+    const plan = this.resolvePlan(route, request, version, workspace);
     if (!plan) {
       const outcome = newRefusal('no-target', RETRY_AFTER_MS);
       return {outcome, fields: {version, ruleId: route.rule.id}};
@@ -100,7 +118,11 @@
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
     this.options.retryBudget.recordRequest(plan.serviceId, performance.now());
-    const routed = new RoutedRequest(this, request, plan);
+    const routed = new RoutedRequest(
+      this,
+      hasWorkspaces(workspaces) ? this.dropWorkspaceHeaders(request) : request,
+      plan,
+    );
     if (!routed.endsBefore(request.serveUntilMs)) {
       // The caller can go elsewhere at once; this process is about to end.
       const outcome = newRefusal('stopping', MIN_RETRY_AFTER_MS);
@@ -114,11 +136,17 @@
     return {outcome, fields: routed.getLogFields()};
   }
 
-  // The newer version may have the route.
-  private refuseUnknownRoute(): RelayOutcome {
+  // The newer version may have the route or the key.
+  private refuseUnknown(reason: 'no-route' | 'unknown-key'): RelayOutcome {
     return this.options.hasNewerVersion()
       ? newRefusal('version-behind', RETRY_AFTER_MS)
-      : newRefusal('no-route', 0);
+      : newRefusal(reason, 0);
+  }
+
+  private dropWorkspaceHeaders(request: CallerRequest): CallerRequest {
+    const {workspaceRequestHeaders} = this.options;
+    const headers = dropHeaders(request.headers, workspaceRequestHeaders);
+    return {...request, headers};
   }
 
   private findRoute({
@@ -157,6 +185,7 @@
     route: Route,
     request: CallerRequest,
     version: number,
+    workspace: WorkspaceRecord | undefined,
   ): RoutePlan | undefined {
     const {rule} = route;
     const serviceId = this.chooseService(route);
@@ -168,9 +197,9 @@
       timeoutMs: rule.timeoutMs ?? DEFAULT_TIMEOUT_MS,
       objectiveMs: rule.latencyObjectiveMs ?? DEFAULT_OBJECTIVE_MS,
       maxAttempts: rule.maxAttempts ?? DEFAULT_MAX_ATTEMPTS,
-      urgency: rule.urgency ?? DEFAULT_URGENCY,
+      urgency: combineUrgency(workspace, rule.urgency ?? DEFAULT_URGENCY),
       version,
-      workspace: undefined,
+      workspace,
     };
   }
 
--- a/packages/relay/src/entry_types.ts
+++ b/packages/relay/src/entry_types.ts
@@ -17,6 +17,8 @@
   /** Headers to forward, as alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Key of the caller's workspace, which must not be logged or forwarded. */
+  readonly key?: string | undefined;
   /** Timeout requested by the caller, counted from `receivedAtMs`. */
   readonly timeoutMs: number | undefined;
   readonly receivedAtMs: number;
@@ -36,6 +38,11 @@
    * running version check has finished.
    */
   readonly mayRoute: () => boolean | Promise<boolean>;
+  /**
+   * Lower-case names of headers that are not forwarded where the configuration has
+   * workspaces.
+   */
+  readonly workspaceRequestHeaders: ReadonlySet<string>;
   readonly directory: GateDirectory;
   readonly retryBudget: SlidingRetryBudget<ServiceId>;
   /** Number of members that share the allowance of the retry budget. */
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -205,6 +205,7 @@
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
       urgency: offer.urgency,
+      workspaceId: offer.workspaceId,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -263,13 +264,14 @@
 
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
-    const {requestId, callerServiceId} = offer;
+    const {requestId, callerServiceId, workspaceId} = offer;
     const {targetId} = session.getAnnouncement();
     const added = this.options.headerCodec.formatTargetHeaders({
       requestId,
       remainingMs,
       targetId,
       callerServiceId,
+      workspaceId,
     });
     return [...offer.headers, ...added];
   }
--- a/packages/relay/src/gate_log.ts
+++ b/packages/relay/src/gate_log.ts
@@ -39,6 +39,7 @@
       requestId: offer.requestId,
       ruleId: offer.ruleId,
       urgency: offer.urgency,
+      workspaceId: offer.workspaceId,
       ...refusal,
       waitMs: Math.round(waitMs),
       remainingMs: Math.round(offer.remainingMs),
--- a/packages/relay/src/header_codec.ts
+++ b/packages/relay/src/header_codec.ts
@@ -1,6 +1,7 @@
 /** Mapping between the request path and the HTTP headers of a platform. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {WorkspaceId} from '@cassiaknot/inventory';
 
 /** Request metadata from a caller's headers. */
 export interface CallerMetadata {
@@ -8,6 +9,8 @@
   readonly requestId: string;
   /** Timeout of the caller; undefined if it sent none. */
   readonly timeoutMs: number | undefined;
+  /** Key of the caller's workspace; undefined if it sent none. */
+  readonly key?: string | undefined;
 }
 
 /** Metadata sent to a target in addition to the caller's headers. */
@@ -17,6 +20,8 @@
   /** Id of the only target that may run the request; undefined if unknown. */
   readonly targetId: string | undefined;
   readonly callerServiceId: string;
+  /** Workspace of the caller; undefined if the request carried no known key. */
+  readonly workspaceId?: WorkspaceId | undefined;
 }
 
 /** Classification of a target's response. */
@@ -56,6 +61,13 @@
 export interface HeaderCodec {
   /** Lower-case names of request headers that are not forwarded. */
   readonly strippedRequestHeaders: ReadonlySet<string>;
+  /**
+   * Lower-case names of request headers that carry a key or name a workspace. They are
+   * not forwarded where the configuration has workspaces.
+   */
+  readonly workspaceRequestHeaders: ReadonlySet<string>;
+  /** Value of `WWW-Authenticate` in responses to requests without a known key. */
+  readonly challenge: string;
   /** Lower-case names of response headers that are not forwarded. */
   readonly strippedResponseHeaders: ReadonlySet<string>;
   parseCallerHeaders(headers: IncomingHttpHeaders): CallerMetadata;
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -137,11 +137,12 @@
 
   /** Returns the fields logged with the outcome. */
   getLogFields(): LogFields {
-    const {ruleId, serviceId, version} = this.plan;
+    const {ruleId, serviceId, version, workspace} = this.plan;
     return {
       ruleId,
       serviceId,
       version,
+      workspaceId: workspace?.id,
       gate: this.lastGate?.instanceId,
       offers: this.offerCount,
       arrivals: this.arrivalCount,
@@ -272,6 +273,7 @@
         request.receivedAtMs + plan.objectiveMs - performance.now(),
       urgency: plan.urgency,
       isIdempotent: plan.isIdempotent,
+      workspaceId: plan.workspace?.id,
     });
     this.pendingOffer = {link, call};
     const reply = await Promise.race([
--- a/packages/relay/src/testing/caller_server_fixture.ts
+++ b/packages/relay/src/testing/caller_server_fixture.ts
@@ -20,6 +20,8 @@
 
 const HEADER_CODEC: HeaderCodec = {
   strippedRequestHeaders: new Set(['request-id']),
+  workspaceRequestHeaders: new Set(['authorization']),
+  challenge: 'Bearer',
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: headers => ({
     requestId: String(headers['request-id'] ?? ''),
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -293,6 +293,7 @@
     getConfiguration: () => configuration,
     hasNewerVersion: () => gates.hasNewerVersion,
     mayRoute: () => true,
+    workspaceRequestHeaders: new Set(['x-key', 'x-workspace']),
     directory,
     retryBudget: new SlidingRetryBudget({
       windowMs: 10_000,
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -27,6 +27,8 @@
  */
 const HEADER_CODEC: HeaderCodec = {
   strippedRequestHeaders: new Set(),
+  workspaceRequestHeaders: new Set(),
+  challenge: 'Bearer',
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: () => ({requestId: '', timeoutMs: undefined}),
   formatTargetHeaders: ({remainingMs}) => ['remaining', String(remainingMs)],
--- a/packages/test-support/src/load_model/modelled_instance.ts
+++ b/packages/test-support/src/load_model/modelled_instance.ts
@@ -34,6 +34,8 @@
 /** Passes all headers on and returns every response as it is. */
 const HEADER_CODEC: HeaderCodec = {
   strippedRequestHeaders: new Set(),
+  workspaceRequestHeaders: new Set(),
+  challenge: 'Bearer',
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: () => ({requestId: '', timeoutMs: undefined}),
   formatTargetHeaders: () => [],
@@ -91,6 +93,7 @@
       getConfiguration: () => environment.configuration,
       hasNewerVersion: () => false,
       mayRoute: () => true,
+      workspaceRequestHeaders: HEADER_CODEC.workspaceRequestHeaders,
       directory: this.directory,
       retryBudget: environment.retryBudget,
       getMemberCount: () => environment.memberCount,
