--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -1,4 +1,4 @@
-/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|load`. */
+/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|workspaces|load`. */
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
@@ -7,6 +7,7 @@
 import {runLoadBench} from './load_bench.js';
 import {runLatencyBench} from './latency_bench.js';
 import {runMembershipBench} from './membership_bench.js';
+import {runWorkspaceBench} from './workspace_bench.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('npm run bench --')
@@ -63,6 +64,18 @@
       print(runMembershipBench({sizes, dataCentres: 16}));
     },
   )
+  .command(
+    'workspaces',
+    'memory and time of keys by their number',
+    builder =>
+      builder
+        .option('sizes', {type: 'number', array: true, default: [500, 5_000]})
+        .option('workspaces', {type: 'number', default: 82}),
+    args => {
+      const {sizes, workspaces} = args;
+      print(runWorkspaceBench({sizes, workspaces}));
+    },
+  )
   .command(
     'load',
     'simulated load on the production entries and gates',
