--- a/packages/relay/src/caller_messages.ts
+++ b/packages/relay/src/caller_messages.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import {BodyBuffer} from './body_buffer.js';
 import {HOP_BY_HOP_HEADERS} from './header_codec.js';
+import type {RefusalReason} from './outcome.js';
 
 const EMPTY_BODY = Buffer.alloc(0);
 
@@ -13,6 +14,16 @@
   statusCode: REQUEST_TOO_LARGE_STATUS,
 };
 
+/** Status of a response to a request without a known key. */
+export const UNAUTHORIZED_STATUS = 401;
+const UNAVAILABLE_STATUS = 503;
+/** Statuses of refusals; the others have 503. */
+const REFUSAL_STATUSES: ReadonlyMap<RefusalReason, number> = new Map([
+  ['unknown-key', UNAUTHORIZED_STATUS],
+  ['no-route', 404],
+  ['over-quota', 429],
+]);
+
 const REJECTION_STATUS: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
   ['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
@@ -38,6 +49,16 @@
   return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
+/** Status of a refusal, and whether no later attempt removes its cause. */
+export function describeRefusal(reason: RefusalReason): {
+  statusCode: number;
+  isLasting: boolean;
+} {
+  const statusCode = REFUSAL_STATUSES.get(reason) ?? UNAVAILABLE_STATUS;
+  const isLasting = reason === 'unknown-key' || reason === 'no-route';
+  return {statusCode, isLasting};
+}
+
 /** Returns the headers to forward, as alternating names and values. */
 export function filterHeaders(
   request: IncomingMessage,
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -10,6 +10,8 @@
 import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
 import {
+  UNAUTHORIZED_STATUS,
+  describeRefusal,
   filterHeaders,
   formatRejection,
   readRequest,
@@ -18,7 +20,7 @@
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
-import type {AnsweredOutcome, RefusalReason, RelayOutcome} from './outcome.js';
+import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
 import {describeOutcome} from './outcome.js';
 
 /** Limits on requests and connections of callers. */
@@ -53,19 +55,6 @@
 const LATE_POLL_MS = 20;
 const CONNECT_UNSUPPORTED = new Error('CONNECT is not supported');
 const MS_PER_SECOND = 1_000;
-const UNAUTHORIZED_STATUS = 401;
-const UNAVAILABLE_STATUS = 503;
-/** Statuses of refusals; the others have 503. */
-const REFUSAL_STATUSES: ReadonlyMap<RefusalReason, number> = new Map([
-  ['unknown-key', UNAUTHORIZED_STATUS],
-  ['no-route', 404],
-  ['over-quota', 429],
-]);
-/** Refusals whose cause no later attempt removes. */
-const LASTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
-  'unknown-key',
-  'no-route',
-]);
 
 /** A request that is being served. */
 interface CallerExchange {
@@ -364,14 +353,13 @@
     if (closes) response.setHeader('Connection', 'close');
     switch (outcome.kind) {
       case 'refused': {
-        const {reason} = outcome;
-        const statusCode = REFUSAL_STATUSES.get(reason) ?? UNAVAILABLE_STATUS;
+        const {statusCode, isLasting} = describeRefusal(outcome.reason);
         response.statusCode = statusCode;
         if (statusCode === UNAUTHORIZED_STATUS) {
           const {challenge} = this.options.headerCodec;
           response.setHeader('WWW-Authenticate', challenge);
         }
-        if (!LASTING_REFUSALS.has(reason)) {
+        if (!isLasting) {
           const seconds = outcome.retryAfterMs / MS_PER_SECOND;
           response.setHeader('Retry-After', seconds.toFixed(3));
         }
