--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -193,7 +193,9 @@
   if (!layout) return Err({kind: 'invalid', message: 'unknown frame kind'});
   const fields: Record<string, unknown> = {kind: layout.kind};
   for (const [index, name] of layout.fieldNames.entries()) {
-    fields[name] = raw[index + 1];
+    // An absent field is left out, as it was before encoding.
+    const value: unknown = raw[index + 1];
+    if (value !== undefined) fields[name] = value;
   }
   const parsed = layout.schema.safeParse(fields);
   if (parsed.success) return Ok(parsed.data);
