Divide the slots of a target among workspaces by fair shares

In a standing queue, jobs were ordered without regard to whose they are, so that a workspace with 7.5 times its usual demand took slots from all others. The scheduler now keeps a decayed sum of the slot time that each workspace uses and asks for, and computes the max-min fair level of what workspaces of equal priority use together. In the queue, jobs above the level of their workspace rank behind the others. A priority that is served less than 0.3 times as often as all, and a kind that is served less than a lower-ranked one, are moved up until that has ended. Jobs without a workspace come first, as nested calls did. Without a workspace or a standing queue the order stays as it was.

--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -35,3 +35,20 @@
 export const MIN_STARTS_PER_SECOND = 0.5;
 /** Share of the mean run time of running jobs below which a job is short. */
 export const SHORT_RUN_SHARE = 0.5;
+/** Half-life of the use and demand of workspaces and of the served shares of kinds. */
+export const SHARE_HALF_LIFE_MS = 2_000;
+/** Age up to which computed fair levels are used again. */
+export const FAIR_LEVEL_TTL_MS = 50;
+/**
+ * Part of the mean served share that each workspace and each priority gets in any
+ * case. The requirement is a quarter; the rest covers the delay of the averages.
+ */
+export const MIN_SERVED_PART = 0.3;
+/** Maximum number of workspaces with an account; an idle one is dropped first. */
+export const MAX_SHARE_ACCOUNTS = 4_096;
+/** Maximum number of kinds (urgencies) whose served share is tracked. */
+export const MAX_SHARE_KINDS = 256;
+/** Number of recent offers below which the served share of a kind says little. */
+export const MIN_KIND_OFFERS = 3;
+/** Longest wait that a refusal for exceeding the fair share names. */
+export const MAX_SHARE_WAIT_MS = 5_000;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,7 +2,9 @@
 
 export * from './constants.js';
 export * from './ewma.js';
+export * from './job.js';
 export * from './slot_scheduler.js';
+export type {WorkspaceShare} from './workspace_shares.js';
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
 export * from './weighted_round_robin.js';
--- /dev/null
+++ b/packages/routing/src/share_order.ts
@@ -0,0 +1,117 @@
+/**
+ * Order of a queue under shortage. Jobs without a workspace come first, as they are
+ * usually nested calls of requests that run already. Then come priorities that are
+ * served much less than all, then the others by priority; within a priority, jobs
+ * within the fair share of their workspace come before those beyond it, and both are
+ * ordered by urgency. A priority whose higher-ranked kinds are served less than lower
+ * ones is ordered by urgency first until that has ended.
+ */
+
+import type {JobRefusalReason} from './job.js';
+import type {KindService} from './kind_service.js';
+import type {ShareSubject, WorkspaceShares} from './workspace_shares.js';
+
+/** The part of a job that determines its place. */
+export interface OrderedSubject extends ShareSubject {
+  readonly urgency: number;
+}
+
+/** Place of a job relative to the fair share of its workspace. */
+export type ShareLevel =
+  | 'within'
+  /** Earlier jobs of the workspace in the queue use up its share. */
+  | 'beyond'
+  /** The workspace has used more than its share. */
+  | 'over';
+
+/** A job in its order. */
+export interface OrderedJob<J> {
+  readonly job: J;
+  readonly level: ShareLevel;
+}
+
+const LEVEL_RANKS: Readonly<Record<ShareLevel, number>> = {
+  within: 0,
+  beyond: 1,
+  over: 2,
+};
+const UNGROUPED_TIER = 0;
+const STARVED_TIER = 1;
+const USUAL_TIER = 2;
+
+interface RankedJob<J> extends OrderedJob<J> {
+  /** Ranks from the most significant to the least. */
+  readonly ranks: readonly number[];
+}
+
+/** Reorders jobs that are in the order that holds without shortage. */
+export function orderByShares<J extends OrderedSubject>(
+  jobs: readonly J[],
+  shares: WorkspaceShares,
+  kinds: KindService,
+  nowMs: number,
+): ReadonlyArray<OrderedJob<J>> {
+  const budgets = new Map<string, Budget>();
+  const ranked = jobs.map((job): RankedJob<J> => {
+    const {workspaceId, workspaceUrgency = 0, urgency} = job;
+    if (workspaceId === undefined) {
+      return {job, level: 'within', ranks: [UNGROUPED_TIER, 0, urgency]};
+    }
+    const level = takeBudget(job, workspaceId, budgets, shares, nowMs);
+    const isStarved =
+      level === 'within' && kinds.isStarved(workspaceUrgency, nowMs);
+    const tier = isStarved ? STARVED_TIER : USUAL_TIER;
+    const levelRank = LEVEL_RANKS[level];
+    const ranks = kinds.isInverted(workspaceUrgency, nowMs)
+      ? [tier, workspaceUrgency, urgency, levelRank]
+      : [tier, workspaceUrgency, levelRank, urgency];
+    return {job, level, ranks};
+  });
+  return ranked.sort((left, right) => compareRanks(left.ranks, right.ranks));
+}
+
+/** Returns the reason for which a job is refused at its place. */
+export function toRefusalReason(
+  ordered: OrderedJob<unknown> | undefined,
+): JobRefusalReason {
+  const isWithin = ordered === undefined || ordered.level === 'within';
+  return isWithin ? 'overloaded' : 'over-share';
+}
+
+interface Budget {
+  readonly isOver: boolean;
+  readonly limitMs: number;
+  usedMs: number;
+}
+
+function takeBudget(
+  job: OrderedSubject,
+  workspaceId: string,
+  budgets: Map<string, Budget>,
+  shares: WorkspaceShares,
+  nowMs: number,
+): ShareLevel {
+  let budget = budgets.get(workspaceId);
+  if (!budget) {
+    const share = shares.getShare(workspaceId, nowMs);
+    const limitMs = share?.limitMs ?? Infinity;
+    const usedMs = share?.useMs ?? 0;
+    budget = {isOver: usedMs > limitMs, limitMs, usedMs};
+    budgets.set(workspaceId, budget);
+  }
+  const isWithin = budget.usedMs <= budget.limitMs;
+  budget.usedMs += job.expectedRunMs;
+  if (isWithin) return 'within';
+  return budget.isOver ? 'over' : 'beyond';
+}
+
+function compareRanks(
+  left: readonly number[],
+  right: readonly number[],
+): number {
+  for (const [index, rank] of left.entries()) {
+    const difference = rank - (right[index] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
--- a/packages/routing/src/slot_scheduler.test.ts
+++ b/packages/routing/src/slot_scheduler.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import type {Job} from './slot_scheduler.js';
+import type {Job} from './job.js';
 import {SlotScheduler} from './slot_scheduler.js';
 
 const SEED = 20261204;
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -5,7 +5,8 @@
  * an overload delays some requests rather than all; among these, the shortest
  * runs first, so that short calls do not wait behind long requests. While there
  * is a standing queue, jobs that would miss their objective are shed, so that
- * their slots serve others in time. A target can also limit the rate of starts.
+ * their slots serve others in time, and jobs of workspaces above their fair share
+ * rank behind others. A target can also limit the rate of starts.
  */
 
 import {
@@ -15,46 +16,19 @@
   SHORT_RUN_SHARE,
   STANDING_QUEUE_MS,
 } from './constants.js';
+import type {
+  Job,
+  JobPriority,
+  JobRefusalReason,
+  OfferResult,
+  SchedulerLoad,
+} from './job.js';
+import {KindService} from './kind_service.js';
+import type {OrderedJob} from './share_order.js';
+import {orderByShares, toRefusalReason} from './share_order.js';
 import {StartPacer} from './start_pacer.js';
-
-/** Why a job was not started. */
-export type JobRefusalReason = 'overloaded' | 'deadline' | 'closed';
-
-/** Determines the position of a job in the queue. */
-export interface JobPriority {
-  /** Priority under load; 0 is served first. */
-  readonly urgency: number;
-  /** Expected run time at this target. */
-  readonly expectedRunMs: number;
-  /** Latest time at which a response meets the latency objective. */
-  readonly objectiveAtMs: number;
-  /** Time at which the caller stops waiting. */
-  readonly deadlineAtMs: number;
-}
-
-/** A request for a slot. */
-export interface Job extends JobPriority {
-  /** Group that shares the slots fairly with others; undefined for its own group. */
-  readonly workspaceId?: string | undefined;
-  /** Longest wait that the sender accepts at this target. */
-  readonly maxWaitMs: number;
-  /** Called once when the job gets a slot. */
-  readonly start: () => void;
-  /** Called once if the job is refused while queued. */
-  readonly refuse: (reason: JobRefusalReason) => void;
-}
-
-/** Result of offering a job. */
-export type OfferResult =
-  | {readonly kind: 'started' | 'queued'}
-  | {readonly kind: 'refused'; readonly reason: JobRefusalReason};
-
-/** Load of a target as reported to senders. */
-export interface SchedulerLoad {
-  readonly slots: number;
-  readonly running: number;
-  readonly waiting: number;
-}
+import type {WorkspaceShare} from './workspace_shares.js';
+import {WorkspaceShares} from './workspace_shares.js';
 
 /** Assigns slots to jobs. */
 export class SlotScheduler {
@@ -66,12 +40,16 @@
   private isClosed = false;
   /** Set while the target limits its rate. */
   private pacer: StartPacer | undefined;
+  private readonly shares = new WorkspaceShares();
+  private readonly kinds = new KindService();
 
   constructor(private slots: number) {}
 
   /** Starts, queues or refuses a job. */
   offer(job: Job, nowMs: number): OfferResult {
     if (this.isClosed) return {kind: 'refused', reason: 'closed'};
+    this.shares.recordOffer(job, nowMs);
+    this.kinds.recordOffer(job, nowMs);
     if (this.mayStart(nowMs) && this.waiting.length === 0) {
       if (willLikelyExceedDeadline(job, nowMs)) {
         return {kind: 'refused', reason: 'deadline'};
@@ -79,7 +57,7 @@
       this.start(job, nowMs);
       return {kind: 'started'};
     }
-    const waitMs = this.estimateWaitMs(job, nowMs);
+    const {waitMs, reason} = this.findPlace(job, nowMs);
     const startMs = nowMs + waitMs;
     const isServable =
       waitMs <= job.maxWaitMs &&
@@ -87,7 +65,7 @@
     const isLateInStandingQueue =
       this.hasStandingQueue(nowMs) && !this.meetsObjective(job, startMs);
     if (!isServable || isLateInStandingQueue) {
-      return {kind: 'refused', reason: 'overloaded'};
+      return {kind: 'refused', reason};
     }
     this.waiting.push(job);
     this.queuedSinceMs ??= nowMs;
@@ -96,7 +74,9 @@
 
   /** Releases the slot of a finished job to the next in the queue. */
   finish(job: Job, nowMs: number): void {
-    if (this.running.delete(job)) this.startNext(nowMs);
+    if (!this.running.delete(job)) return;
+    this.shares.recordFinish(job, nowMs);
+    this.startNext(nowMs);
   }
 
   /** Removes a job from the queue; `false` if it is not queued. */
@@ -113,11 +93,12 @@
   sweep(nowMs: number): void {
     let aheadMs = this.getMeanExpectedRunMs() / this.slots;
     let aheadCount = 0;
-    const shed = new Set<Job>();
-    for (const job of this.getQueueOrder(nowMs)) {
+    const shed = new Map<Job, JobRefusalReason>();
+    for (const ordered of this.orderQueue(this.waiting, nowMs)) {
+      const {job} = ordered;
       const pacedMs = this.pacer?.estimateWaitMs(aheadCount, nowMs) ?? 0;
       if (this.shouldShed(job, Math.max(aheadMs, pacedMs), nowMs)) {
-        shed.add(job);
+        shed.set(job, toRefusalReason(ordered));
         continue;
       }
       aheadMs += job.expectedRunMs / this.slots;
@@ -125,7 +106,7 @@
     }
     if (shed.size > 0) {
       this.setWaiting(this.waiting.filter(job => !shed.has(job)));
-      for (const job of shed) job.refuse('overloaded');
+      for (const [job, reason] of shed) job.refuse(reason);
     }
     if (this.pacer) this.startNext(nowMs);
   }
@@ -169,17 +150,17 @@
 
   /** Estimates the wait of a job that arrives now. */
   estimateWaitMs(job: JobPriority, nowMs: number): number {
-    if (this.mayStart(nowMs) && this.waiting.length === 0) return 0;
-    let aheadMs = this.getMeanExpectedRunMs();
-    let aheadCount = 0;
-    for (const other of this.waiting) {
-      if (this.compare(other, job, nowMs) > 0) continue;
-      aheadMs += other.expectedRunMs;
-      aheadCount += 1;
-    }
-    const pacedMs = this.pacer?.estimateWaitMs(aheadCount, nowMs) ?? 0;
-    const hasFreeSlot = this.running.size + aheadCount < this.slots;
-    return Math.max(hasFreeSlot ? 0 : aheadMs / this.slots, pacedMs);
+    return this.findPlace(job, nowMs).waitMs;
+  }
+
+  /** Returns the fair share of a workspace; undefined if it is not known here. */
+  getShare(workspaceId: string, nowMs: number): WorkspaceShare | undefined {
+    return this.shares.getShare(workspaceId, nowMs);
+  }
+
+  /** Counts the workspaces above their fair share; 0 without a standing queue. */
+  countOverShare(nowMs: number): number {
+    return this.hasStandingQueue(nowMs) ? this.shares.countOverShare(nowMs) : 0;
   }
 
   /** Whether the queue has lasted too long to be a short burst. */
@@ -197,8 +178,9 @@
 
   private startNext(nowMs: number): void {
     while (this.mayStart(nowMs)) {
-      const [job] = this.getQueueOrder(nowMs);
-      if (!job) return;
+      const [first] = this.orderQueue(this.waiting, nowMs);
+      if (!first) return;
+      const {job} = first;
       this.cancel(job);
       if (willLikelyExceedDeadline(job, nowMs)) job.refuse('deadline');
       else this.start(job, nowMs);
@@ -212,6 +194,8 @@
 
   private start(job: Job, nowMs: number): void {
     this.running.add(job);
+    this.shares.recordStart(job, nowMs);
+    this.kinds.recordStart(job, nowMs);
     this.pacer?.recordStart(nowMs);
     job.start();
   }
@@ -228,11 +212,64 @@
     if (waiting.length === 0) this.queuedSinceMs = undefined;
   }
 
+  // Wait of a job that arrives now, and the reason if that wait is too long.
+  private findPlace(
+    job: JobPriority,
+    nowMs: number,
+  ): {readonly waitMs: number; readonly reason: JobRefusalReason} {
+    const isEmpty = this.waiting.length === 0;
+    if (this.mayStart(nowMs) && isEmpty) {
+      return {waitMs: 0, reason: 'overloaded'};
+    }
+    const jobs = [...this.waiting, job];
+    if (!this.sharesSlots(jobs, nowMs)) {
+      const ahead = this.waiting.filter(
+        other => this.compare(other, job, nowMs) <= 0,
+      );
+      return {
+        waitMs: this.estimateWaitBehindMs(ahead, nowMs),
+        reason: 'overloaded',
+      };
+    }
+    const ordered = this.orderQueue(jobs, nowMs);
+    const index = ordered.findIndex(other => other.job === job);
+    const ahead = ordered.slice(0, index).map(other => other.job);
+    return {
+      waitMs: this.estimateWaitBehindMs(ahead, nowMs),
+      reason: toRefusalReason(ordered[index]),
+    };
+  }
+
+  private estimateWaitBehindMs(
+    ahead: readonly JobPriority[],
+    nowMs: number,
+  ): number {
+    let aheadMs = this.getMeanExpectedRunMs();
+    for (const {expectedRunMs} of ahead) aheadMs += expectedRunMs;
+    const pacedMs = this.pacer?.estimateWaitMs(ahead.length, nowMs) ?? 0;
+    const hasFreeSlot = this.running.size + ahead.length < this.slots;
+    return Math.max(hasFreeSlot ? 0 : aheadMs / this.slots, pacedMs);
+  }
+
+  // Without contention, and without workspaces, shares have no influence.
+  private sharesSlots(jobs: readonly JobPriority[], nowMs: number): boolean {
+    return (
+      this.hasStandingQueue(nowMs) &&
+      jobs.some(({workspaceId}) => workspaceId !== undefined)
+    );
+  }
+
   // The sort is stable, so that jobs of equal priority stay in order of arrival.
-  private getQueueOrder(nowMs: number): Job[] {
-    return [...this.waiting].sort((left, right) =>
+  private orderQueue<J extends JobPriority>(
+    jobs: readonly J[],
+    nowMs: number,
+  ): ReadonlyArray<OrderedJob<J>> {
+    const sorted = [...jobs].sort((left, right) =>
       this.compare(left, right, nowMs),
     );
+    return this.sharesSlots(jobs, nowMs)
+      ? orderByShares(sorted, this.shares, this.kinds, nowMs)
+      : sorted.map(job => ({job, level: 'within'}));
   }
 
   /** Negative if `left` is served first, 0 if the priorities are equal. */
--- a/packages/routing/src/testing/index.ts
+++ b/packages/routing/src/testing/index.ts
@@ -2,3 +2,4 @@
 
 export * from './sample_run_time.js';
 export * from './overload_model.js';
+export * from './workspace_load.js';
--- a/packages/routing/src/testing/overload_model.ts
+++ b/packages/routing/src/testing/overload_model.ts
@@ -1,11 +1,14 @@
 /** Simulates one target under a given load, for tests of scheduling policies. */
 
-import type {Job, SlotScheduler} from '../slot_scheduler.js';
+import type {Job} from '../job.js';
+import type {SlotScheduler} from '../slot_scheduler.js';
 import {sampleRunMs} from './sample_run_time.js';
 
 /** A class of requests that the simulation sends. */
 export interface RequestClass {
   readonly name: string;
+  readonly workspaceId?: string;
+  readonly workspaceUrgency?: number;
   readonly requestsPerSecond: number;
   readonly urgency: number;
   readonly meanRunMs: number;
@@ -82,6 +85,8 @@
     };
     const job: Job = {
       urgency: requestClass.urgency,
+      workspaceId: requestClass.workspaceId,
+      workspaceUrgency: requestClass.workspaceUrgency,
       expectedRunMs: requestClass.meanRunMs,
       objectiveAtMs: arrivedAtMs + requestClass.objectiveMs,
       deadlineAtMs: arrivedAtMs + requestClass.deadlineMs,
