Refuse requests above the fair share once, and say when to come back

An entry offered a request of a hot workspace to up to four gates, and remembered the long wait that a gate named for it as one of the route, so that the gate was left out for other workspaces. Gates now name the reason `over-share`, with a wait that follows from the demand of the workspace and its share; the entry makes one more offer after such a refusal, and keeps that wait to the request. Callers of workspaces are told to come back between one and two times the expected wait, those with the least time left first. Gates read the priority of the workspace from the combined urgency, and report waits for a workspace within its share.

Counters: `offer-refused` and `refused` with `over-share`, `repeated` and `refused-again` for requests that come back after a refusal. Gauge: `cassiaknot_workspaces_over_share`.

The tests of a small workspace beside a hot one were seen to fail without the order at the gate, and with the wait kept for the route at the entry.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -403,6 +403,10 @@
         this.localTarget.getSession()?.getLoad().waiting ?? 0,
       getRunningCount: () =>
         this.localTarget.getSession()?.getLoad().running ?? 0,
+      getOverShareCount: () =>
+        this.localTarget
+          .getSession()
+          ?.scheduler.countOverShare(performance.now()) ?? 0,
       getDroppedLogLineCount: this.options.getDroppedLogLineCount,
     });
   }
--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -11,6 +11,7 @@
   getOpenGateCount(): number;
   getWaitingCount(): number;
   getRunningCount(): number;
+  getOverShareCount(): number;
   getDroppedLogLineCount(): number;
 }
 
@@ -69,6 +70,11 @@
         'Requests that the target runs',
         () => gauges.getRunningCount(),
       ],
+      [
+        'cassiaknot_workspaces_over_share',
+        'Workspaces above their fair share while requests queue for the target',
+        () => gauges.getOverShareCount(),
+      ],
       [
         'cassiaknot_log_lines_dropped',
         'Log lines left out because the output was not read',
--- a/packages/relay/src/authentication.ts
+++ b/packages/relay/src/authentication.ts
@@ -55,6 +55,11 @@
   return (workspaceUrgency + 1) * WORKSPACE_URGENCY_STEP + ruleUrgency;
 }
 
+/** Returns the urgency of the workspace in a combined one. */
+export function getWorkspaceUrgency(combinedUrgency: number): number {
+  return Math.floor(combinedUrgency / WORKSPACE_URGENCY_STEP) - 1;
+}
+
 /** Removes headers, given as alternating names and values, by lower-case name. */
 export function dropHeaders(
   headers: readonly string[],
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -30,6 +30,8 @@
 import type {LogFields} from './observer.js';
 import type {RelayOutcome} from './outcome.js';
 import {describeOutcome, newRefusal} from './outcome.js';
+import type {PastRefusals} from './repeated_requests.js';
+import {RepeatedRequests} from './repeated_requests.js';
 import {RoutedRequest} from './routed_request.js';
 
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -62,6 +64,8 @@
   /** Services whose targets have sent responses without a length, until a time. */
   private readonly unframedUntilMs = new Map<ServiceId, number>();
 
+  private readonly repeatedRequests = new RepeatedRequests();
+
   constructor(readonly options: RelayEntryOptions) {}
 
   /**
@@ -85,11 +89,34 @@
 
   /** Routes one request, logs its outcome and returns it. */
   async handle(request: CallerRequest): Promise<RelayOutcome> {
+    const past = this.recordArrival(request);
     const {outcome, fields} = await this.route(request);
-    this.logOutcome(request, outcome, fields);
+    this.recordRepeat(request, past, outcome);
+    const pastRefusals = past?.count;
+    this.logOutcome(request, outcome, {...fields, pastRefusals});
     return outcome;
   }
 
+  private recordArrival({requestId}: CallerRequest): PastRefusals | undefined {
+    const past = this.repeatedRequests.find(requestId, performance.now());
+    if (past) this.options.observer.count('repeated', past.lastReason);
+    return past;
+  }
+
+  private recordRepeat(
+    {requestId}: CallerRequest,
+    past: PastRefusals | undefined,
+    outcome: RelayOutcome,
+  ): void {
+    if (outcome.kind !== 'refused') {
+      if (past) this.repeatedRequests.forget(requestId);
+      return;
+    }
+    const {reason} = outcome;
+    if (past) this.options.observer.count('refused-again', reason);
+    this.repeatedRequests.recordRefusal(requestId, reason, performance.now());
+  }
+
   private async route(request: CallerRequest): Promise<RoutedOutcome> {
     const mayRoute = await this.options.mayRoute();
     const {state, workspaces} = this.options.getConfiguration();
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,7 +5,6 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
-import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   CallId,
   Fingerprint,
@@ -22,6 +21,11 @@
 import {EntryConnection} from './entry_connection.js';
 import type {LoggedRefusal} from './gate_log.js';
 import {GateLog} from './gate_log.js';
+import {
+  findDecidingShare,
+  toReportedPriority,
+  toSharePriority,
+} from './gate_shares.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
@@ -29,6 +33,7 @@
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
+import {checkAdmission} from './gate_admission.js';
 import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
@@ -136,7 +141,7 @@
   ): void {
     const session = this.options.localTarget.getSession();
     const received = {link, offer, session, transitMs};
-    const reason = this.checkAdmission(session, offer.serviceId);
+    const reason = checkAdmission(session, offer.serviceId, this.isStopping);
     if (!session || reason) {
       this.refuseOffer(received, reason ?? 'no-target');
       return;
@@ -173,26 +178,6 @@
     this.settleRefusal(call, 'stopping', false);
   }
 
-  private checkAdmission(
-    session: RelayTargetSession | undefined,
-    serviceId: ServiceId,
-  ): RefusalReason | undefined {
-    if (!session) return 'no-target';
-    if (session.getAnnouncement().serviceId !== serviceId) {
-      return 'wrong-service';
-    }
-    if (this.isStopping) return 'stopping';
-    switch (session.getState()) {
-      case 'open':
-        return undefined;
-      case 'down':
-        return 'target-down';
-      case 'draining':
-      case 'ended':
-        return 'draining';
-    }
-  }
-
   private schedule(
     link: RelayLink,
     offer: RelayFrameOf<'offer'>,
@@ -204,8 +189,7 @@
     const sentAtMs = nowMs - transitMs;
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
-      urgency: offer.urgency,
-      workspaceId: offer.workspaceId,
+      ...toSharePriority(offer),
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -357,9 +341,15 @@
   private sendRefusal(received: ReceivedOffer, refusal: LoggedRefusal): void {
     const {link, offer, session} = received;
     const load = this.getLoadFields(received);
-    this.log.logRefusal(offer, refusal, load.waitMs, session);
+    const share = findDecidingShare(
+      received,
+      refusal.reason,
+      performance.now(),
+    );
+    const waitMs = Math.max(load.waitMs, share?.waitMs ?? 0);
+    this.log.logRefusal(offer, refusal, waitMs, session, share);
     const {callId} = offer;
-    link.send({kind: 'refusal', callId, ...refusal, ...load});
+    link.send({kind: 'refusal', callId, ...refusal, ...load, waitMs});
   }
 
   private settleLoss(call: Call, reason: LossReason): void {
@@ -381,9 +371,9 @@
     const {session, offer, transitMs} = received;
     if (!session) return {waitMs: 0, runMs: UNKNOWN_RUN_MS, transitMs};
     const nowMs = performance.now();
-    const {ruleId, urgency, objectiveMs} = offer;
+    const {ruleId, objectiveMs} = offer;
     const candidate: JobPriority = {
-      urgency,
+      ...toReportedPriority(offer),
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: nowMs + objectiveMs,
       deadlineAtMs: nowMs + offer.remainingMs,
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -351,7 +351,10 @@
     const call = this.pending.get(callId);
     if (!call) return;
     this.pending.delete(callId);
-    if (reply.waitMs !== undefined) {
+    // The wait of a workspace above its share says nothing about others.
+    const isOverShare =
+      reply.kind === 'refusal' && reply.reason === 'over-share';
+    if (reply.waitMs !== undefined && !isOverShare) {
       this.recordWait(call.ruleId, reply.waitMs);
     }
     this.inFlightCount = Math.max(0, this.inFlightCount - 1);
--- a/packages/relay/src/gate_log.ts
+++ b/packages/relay/src/gate_log.ts
@@ -1,6 +1,8 @@
 /** Log lines and counters of the decisions of a gate. */
 
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
+import type {WorkspaceShare} from '@cassiaknot/routing';
+import {describeShare} from './gate_shares.js';
 import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {RelayObserver} from './observer.js';
 import type {LossReason, RefusalReason} from './outcome.js';
@@ -33,6 +35,7 @@
     refusal: LoggedRefusal,
     waitMs: number,
     session: RelayTargetSession | undefined,
+    share: WorkspaceShare | undefined,
   ): void {
     this.observer.count('offer-refused', refusal.reason);
     this.observer.log('info', COMPONENT, 'refused', {
@@ -47,6 +50,7 @@
       targetId: session?.getAnnouncement().targetId,
       targetState: session?.getState(),
       ...session?.getLoad(),
+      ...describeShare(share),
     });
   }
 
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -32,6 +32,10 @@
   | 'retried'
   | 'retry-denied'
   | 'offer-refused'
+  /** A request that came back after a refusal, by the reason of that. */
+  | 'repeated'
+  /** A refusal of such a request, by its own reason. */
+  | 'refused-again'
   | 'target-loss'
   | 'withdrawn'
   | 'target-refusal'
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -9,6 +9,8 @@
   | 'version-behind'
   | 'no-target'
   | 'overloaded'
+  /** The workspace exceeds its fair share of a target without free capacity. */
+  | 'over-share'
   | 'deadline'
   | 'closed'
   | 'draining'
@@ -63,6 +65,7 @@
 const GATE_REFUSAL_REASONS: readonly RefusalReason[] = [
   'no-target',
   'overloaded',
+  'over-share',
   'deadline',
   'closed',
   'draining',
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -22,19 +22,14 @@
 import type {CallerRequest, EntryContext, RoutePlan} from './entry_types.js';
 import type {GateLink, GateReply, PendingCall} from './gate_link.js';
 import type {LogFields} from './observer.js';
-import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
+import type {RefusalReason, RelayOutcome} from './outcome.js';
 import {describeOutcome, newRefusal, toRefusalReason} from './outcome.js';
+import {MIN_SERVER_ERROR_STATUS, isRetryable} from './retryable_outcome.js';
+import {planReturnMs} from './return_time.js';
+import {ShareRefusals} from './share_refusals.js';
 import {SilentCalls} from './silent_calls.js';
 
 const COMPONENT = 'entry';
-const RETRYABLE_LOSSES: ReadonlySet<LossReason> = new Set([
-  'link-lost',
-  'link-silent',
-  'target-lost',
-  'target-silent',
-  'answer-cut',
-  'answer-foreign',
-]);
 /** Refusals unrelated to load, after which another offer may well succeed. */
 const TRANSIENT_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   'target-refused',
@@ -48,9 +43,6 @@
 /** Shares of the retry budget available to retries after a loss or a failure. */
 const LOSS_RETRY_SHARE = 0.5;
 const FAILURE_RETRY_SHARE = 0.25;
-/** Lowest status code of a server error. */
-const MIN_SERVER_ERROR_STATUS = 500;
-const GATEWAY_TIMEOUT_STATUS = 504;
 
 const LINK_SILENT: GateReply = {kind: 'loss', reason: 'link-silent'};
 
@@ -78,6 +70,7 @@
   private readonly silentCalls = new SilentCalls((link, answer) =>
     this.toAnsweredOutcome(link, answer),
   );
+  private readonly shareRefusals = new ShareRefusals();
   private lastRefusal: RefusalReason = 'no-target';
   private isFinished = false;
   /** Whether the least loaded gate was offered a wait until the deadline. */
@@ -147,6 +140,7 @@
       offers: this.offerCount,
       arrivals: this.arrivalCount,
       acceptingGates: this.acceptingGateCount,
+      shareRefusals: this.shareRefusals.getCount() || undefined,
     };
   }
 
@@ -179,6 +173,7 @@
     const {plan, entry} = this;
     const remainingMs = this.getRemainingMs();
     if (this.isFinished || remainingMs <= 0) return undefined;
+    if (!this.shareRefusals.mayOffer()) return undefined;
     const meanRunMs =
       entry.runTimes.get(plan.ruleId) ??
       plan.objectiveMs * DEFAULT_RUN_TIME_SHARE;
@@ -246,6 +241,7 @@
     this.excludedGates.add(link);
     this.lastGate = link;
     this.offerCount += 1;
+    this.shareRefusals.recordOffer();
     // A non-idempotent offer sent over a dead link can't be withdrawn or retried.
     if (
       !plan.isIdempotent &&
@@ -329,6 +325,7 @@
     const reason = toRefusalReason(reply.reason);
     this.lastRefusal = reason;
     if (reason === 'quarantined') return this.getRefusalOutcome();
+    if (reason === 'over-share') this.shareRefusals.recordRefusal(reply.waitMs);
     const finishMs = reply.waitMs + Math.max(0, reply.runMs);
     if (reason === 'overloaded' && finishMs <= this.getRemainingMs()) {
       this.overloadedGates.set(link, reply.waitMs);
@@ -341,7 +338,7 @@
   }
 
   private acquireRetry(outcome: RelayOutcome): boolean {
-    if (!this.isRetryable(outcome)) return false;
+    if (!isRetryable(outcome, this.plan.isIdempotent)) return false;
     const {plan, entry} = this;
     const {observer, retryBudget, getMemberCount} = entry.options;
     if (this.arrivalCount >= plan.maxAttempts) return false;
@@ -366,21 +363,6 @@
     return true;
   }
 
-  private isRetryable(outcome: RelayOutcome): boolean {
-    switch (outcome.kind) {
-      case 'answered':
-        return (
-          this.plan.isIdempotent &&
-          outcome.statusCode >= MIN_SERVER_ERROR_STATUS &&
-          outcome.statusCode !== GATEWAY_TIMEOUT_STATUS
-        );
-      case 'refused':
-        return outcome.reason === 'target-refused';
-      case 'lost':
-        return this.plan.isIdempotent && RETRYABLE_LOSSES.has(outcome.reason);
-    }
-  }
-
   private getRefusalOutcome(): RelayOutcome {
     const reason = this.lastRefusal;
     // Jitter keeps callers that were refused together from retrying together.
@@ -389,14 +371,35 @@
       return newRefusal(reason, MIN_RETRY_AFTER_MS * 2 * jitter);
     }
     if (reason === 'quarantined') return newRefusal(reason, QUARANTINE_TTL_MS);
-    if (reason !== 'overloaded') return newRefusal(reason, RETRY_AFTER_MS);
+    const isOverShare = this.shareRefusals.getCount() > 0;
+    if (reason !== 'overloaded' && !isOverShare) {
+      return newRefusal(reason, RETRY_AFTER_MS);
+    }
+    if (isOverShare) {
+      return this.refuseUntil('over-share', this.shareRefusals.getWaitMs());
+    }
     let waitMs = Infinity;
     for (const link of this.excludedGates) {
       waitMs = Math.min(waitMs, link.estimate(this.plan.ruleId).reportedWaitMs);
     }
+    if (this.plan.workspace && Number.isFinite(waitMs)) {
+      return this.refuseUntil(reason, waitMs);
+    }
     return newRefusal(reason, Math.max(MIN_RETRY_AFTER_MS, waitMs * jitter));
   }
 
+  private refuseUntil(reason: RefusalReason, waitMs: number): RelayOutcome {
+    const {ruleId, timeoutMs} = this.plan;
+    const retryAfterMs = planReturnMs({
+      waitMs,
+      remainingMs: this.getRemainingMs(),
+      timeoutMs,
+      runMs: this.entry.runTimes.get(ruleId) ?? 0,
+      random: this.entry.options.random(),
+    });
+    return newRefusal(reason, retryAfterMs);
+  }
+
   // Without an arrival or a pending offer, no gate can have run the request.
   private getTimeoutOutcome(): RelayOutcome {
     if (this.arrivalCount === 0 && !this.hasPendingCalls()) {
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -82,7 +82,7 @@
 
 /**
  * Replies of a scripted gate: `failure` is an answer with status 500, `busy` a
- * refusal as overloaded and `shed` a refusal by the target itself. `slow` is an
+ * refusal as overloaded, `over-share` one of a workspace above its share and `shed` a refusal by the target itself. `slow` is an
  * answer after some time, and `stall` one over a link that is silent until then.
  */
 export type ReplyKind =
@@ -90,6 +90,7 @@
   | 'unframed'
   | 'failure'
   | 'busy'
+  | 'over-share'
   | 'draining'
   | 'quarantined'
   | 'shed'
@@ -192,6 +193,8 @@
         return {...answer, statusCode: 500, body};
       case 'busy':
         return {...refusal, reason: 'overloaded', hasArrived: false};
+      case 'over-share':
+        return {...refusal, reason: kind, hasArrived: false};
       case 'draining':
         return {...refusal, reason: 'draining', hasArrived: false};
       case 'quarantined':
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -132,7 +132,12 @@
   }
 
   /** Delivers an offer that was under way for the given time. */
-  offer(remainingMs: number, transitMs: number, isIdempotent = true): CallId {
+  offer(
+    remainingMs: number,
+    transitMs: number,
+    isIdempotent = true,
+    fields: Partial<RelayFrameOf<'offer'>> = {},
+  ): CallId {
     this.offerCount += 1;
     const callId = brandId<CallId>(String(this.offerCount));
     this.linkEvents.onFrame(this.link, {
@@ -153,6 +158,7 @@
       urgency: 1,
       isIdempotent,
       sentAtMs: performance.now() - transitMs,
+      ...fields,
     });
     return callId;
   }
