Rank workspaces by how far they exceed the fair level

In a model with entries and gates, large workspaces were refused while the hot one used several times the level: its guaranteed part raised its limit, and jobs above the limit were ordered by their run times only. Jobs beyond a share are now ordered by how far their workspace exceeds the level, in steps of a factor of 1.4. The one offer after a refusal for the share goes to another data centre if there is one, as entries of a data centre load its gates alike.

The load model sends requests of workspaces and counts refused attempts.

--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -189,7 +189,8 @@
         .map(link => link.estimate(plan.ruleId))
         .filter(estimate => !this.skipIfOverloaded(estimate));
       const {objectiveMs} = plan;
-      const [best] = rankTargets(estimates, {meanRunMs, objectiveMs});
+      const candidates = this.shareRefusals.selectCandidates(estimates);
+      const [best] = rankTargets(candidates, {meanRunMs, objectiveMs});
       if (best) {
         // A sole candidate may queue the request until its deadline.
         const maxWaitMs =
--- a/packages/relay/src/share_refusals.test.ts
+++ b/packages/relay/src/share_refusals.test.ts
@@ -10,6 +10,7 @@
 import {expect} from 'chai';
 import type {RelayEntry} from './entry.js';
 import type {RelayOutcome} from './outcome.js';
+import {ShareRefusals} from './share_refusals.js';
 import type {ReplyKind} from './testing/scripted_gates.js';
 import {
   GATE_COUNT,
@@ -49,6 +50,30 @@
   };
 }
 
+describe('Gates after a refusal for exceeding the fair share', () => {
+  const local = {isSameDataCentre: true};
+  const remote = {isSameDataCentre: false};
+
+  it('before it: are those of all data centres', () => {
+    const refusals = new ShareRefusals();
+    expect(refusals.selectCandidates([local, remote])).to.have.length(2);
+  });
+
+  // The gates of one data centre were loaded alike, and both refused the request.
+  it('uneven data centres: are those of another one', () => {
+    const refusals = new ShareRefusals();
+    refusals.recordRefusal(100);
+    const candidates = refusals.selectCandidates([local, remote]);
+    expect(candidates).to.deep.equal([remote]);
+  });
+
+  it('one data centre: are those of this one', () => {
+    const refusals = new ShareRefusals();
+    refusals.recordRefusal(100);
+    expect(refusals.selectCandidates([local])).to.deep.equal([local]);
+  });
+});
+
 describe('Refusals for exceeding the fair share', () => {
   let gates: ScriptedGates;
   let observer: CountingObserver;
--- a/packages/relay/src/share_refusals.ts
+++ b/packages/relay/src/share_refusals.ts
@@ -29,6 +29,18 @@
     return this.offersLeft > 0;
   }
 
+  /**
+   * Leaves out the gates of the own data centre after a refusal, if there are others:
+   * its entries load its gates alike, so that the level is alike there too.
+   */
+  selectCandidates<E extends {readonly isSameDataCentre: boolean}>(
+    estimates: readonly E[],
+  ): readonly E[] {
+    if (this.count === 0) return estimates;
+    const remote = estimates.filter(estimate => !estimate.isSameDataCentre);
+    return remote.length > 0 ? remote : estimates;
+  }
+
   getCount(): number {
     return this.count;
   }
--- a/packages/routing/src/share_order.test.ts
+++ b/packages/routing/src/share_order.test.ts
@@ -1,7 +1,10 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import type {Job} from './job.js';
+import {KindService} from './kind_service.js';
+import {orderByShares} from './share_order.js';
 import {SlotScheduler} from './slot_scheduler.js';
+import {WorkspaceShares} from './workspace_shares.js';
 
 const SEED = 20261207;
 const RUN_COUNT = 300;
@@ -152,4 +155,31 @@
     );
     expect(shedCount).to.be.above(RUN_COUNT / 10);
   });
+
+  // The guaranteed part of a hot workspace let it take the slots of large ones.
+  it('a hot and a large workspace above the level: serves the one that exceeds it by less first', () => {
+    const shares = new WorkspaceShares();
+    const serve = (workspaceId: string, served: number, offered: number) => {
+      for (let index = 0; index < offered; index += 1) {
+        const job = {workspaceId, expectedRunMs: 100};
+        shares.recordOffer(job, 0);
+        if (index < served) shares.recordStart(job, 0);
+      }
+    };
+    serve('hot', 10, 50);
+    serve('large', 3, 6);
+    for (let index = 0; index < 10; index += 1) serve(`small-${index}`, 0, 2);
+    const queue = ['hot', 'large', 'small-1'].map(workspaceId => ({
+      workspaceId,
+      urgency: 1,
+      expectedRunMs: 100,
+    }));
+    const order = orderByShares(queue, shares, new KindService(), 0);
+    const places = order.map(({job, level}) => [job.workspaceId, level]);
+    expect(places).to.deep.equal([
+      ['small-1', 'within'],
+      ['large', 'over'],
+      ['hot', 'over'],
+    ]);
+  });
 });
--- a/packages/routing/src/share_order.ts
+++ b/packages/routing/src/share_order.ts
@@ -2,8 +2,8 @@
  * Order of a queue under shortage. Jobs without a workspace come first, as they are
  * usually nested calls of requests that run already. Then come priorities that are
  * served much less than all, then the others by priority; within a priority, jobs
- * within the fair share of their workspace come before those beyond it, and both are
- * ordered by urgency. A priority whose higher-ranked kinds are served less than lower
+ * within the fair share of their workspace come before those beyond it, those that are
+ * beyond it by less before others, and all of these are ordered by urgency. A priority whose higher-ranked kinds are served less than lower
  * ones is ordered by urgency first until that has ended.
  */
 
@@ -35,6 +35,9 @@
   beyond: 1,
   over: 2,
 };
+/** Steps in which the excess over the share is told apart, and the highest one. */
+const EXCESS_STEPS_PER_DOUBLING = 2;
+const MAX_EXCESS = 20;
 const UNGROUPED_TIER = 0;
 const STARVED_TIER = 1;
 const USUAL_TIER = 2;
@@ -58,11 +61,17 @@
   const ranked = jobs.map((job): RankedJob<J> => {
     const {workspaceId, workspaceUrgency = 0, urgency} = job;
     if (workspaceId === undefined) return rankUngrouped(job);
-    const level = takeBudget(job, workspaceId, budgets, shares, nowMs);
+    const {level, excess} = takeBudget(
+      job,
+      workspaceId,
+      budgets,
+      shares,
+      nowMs,
+    );
     const isStarved =
       level === 'within' && kinds.isStarved(workspaceUrgency, nowMs);
     const isInverted = kinds.isInverted(workspaceUrgency, nowMs);
-    const levelRank = LEVEL_RANKS[level];
+    const levelRank = LEVEL_RANKS[level] + excess;
     return {
       job,
       level,
@@ -86,6 +95,7 @@
 interface Budget {
   readonly isOver: boolean;
   readonly limitMs: number;
+  readonly levelMs: number;
   usedMs: number;
 }
 
@@ -95,19 +105,28 @@
   budgets: Map<string, Budget>,
   shares: WorkspaceShares,
   nowMs: number,
-): ShareLevel {
+): {readonly level: ShareLevel; readonly excess: number} {
   let budget = budgets.get(workspaceId);
   if (!budget) {
     const share = shares.getShare(workspaceId, nowMs);
     const limitMs = share?.limitMs ?? Infinity;
     const usedMs = share?.useMs ?? 0;
-    budget = {isOver: usedMs > limitMs, limitMs, usedMs};
+    const levelMs = share?.levelMs ?? Infinity;
+    budget = {isOver: usedMs > limitMs, limitMs, levelMs, usedMs};
     budgets.set(workspaceId, budget);
   }
+  const ratio = budget.usedMs / budget.levelMs;
   const isWithin = budget.usedMs <= budget.limitMs;
   budget.usedMs += job.expectedRunMs;
-  if (isWithin) return 'within';
-  return budget.isOver ? 'over' : 'beyond';
+  if (isWithin) return {level: 'within', excess: 0};
+  return {level: budget.isOver ? 'over' : 'beyond', excess: toExcess(ratio)};
+}
+
+// Steps leave the order of urgency in force among workspaces that exceed their share
+// by about as much.
+function toExcess(ratio: number): number {
+  const step = Math.floor(EXCESS_STEPS_PER_DOUBLING * Math.log2(ratio));
+  return Math.min(MAX_EXCESS, Math.max(0, step)) / (MAX_EXCESS + 1);
 }
 
 function rankUngrouped<J extends OrderedSubject>(job: J): RankedJob<J> {
--- a/packages/routing/src/workspace_shares.ts
+++ b/packages/routing/src/workspace_shares.ts
@@ -31,6 +31,8 @@
   readonly demandMs: number;
   /** Use up to which the workspace is served before those above theirs. */
   readonly limitMs: number;
+  /** Fair level of all workspaces of its urgency, which is no higher. */
+  readonly levelMs: number;
   /** Time after which the workspace is likely to be served again. */
   readonly waitMs: number;
 }
@@ -109,7 +111,7 @@
     const level = this.getLevel(account.urgency, nowMs);
     const limitMs = Math.max(level.levelMs, level.minPart * demandMs);
     const waitMs = estimateShareWaitMs(demandMs, limitMs);
-    return {useMs, demandMs, limitMs, waitMs};
+    return {useMs, demandMs, limitMs, levelMs: level.levelMs, waitMs};
   }
 
   /** Counts the workspaces above their fair share. */
--- a/packages/test-support/src/bench/load_bench.ts
+++ b/packages/test-support/src/bench/load_bench.ts
@@ -62,6 +62,7 @@
     inTime: left.inTime + right.inTime,
     late: left.late + right.late,
     refused: left.refused + right.refused,
+    refusedAttempts: left.refusedAttempts + right.refusedAttempts,
     failed: left.failed + right.failed,
     remote: left.remote + right.remote,
   };
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -13,6 +13,7 @@
   brandId,
   compileRouteTable,
   compileWorkspaceIndex,
+  digestText,
   newStateFromRecords,
 } from '@cassiaknot/inventory';
 import type {
@@ -35,6 +36,7 @@
   RequestKind,
   LoadScenario,
   TargetSpec,
+  WorkspaceSpec,
 } from './types.js';
 
 const MS_PER_SECOND = 1_000;
@@ -55,6 +57,7 @@
 /** One simulation run. */
 export class LoadModel {
   private readonly countsByKind = new Map<string, RequestCounts>();
+  private readonly countsByWorkspace = new Map<string, RequestCounts>();
   private readonly instances: ModelledInstance[] = [];
   private readonly dataCentreByInstance = new Map<string, string>();
   /** Gate that answered each request, by request id. */
@@ -107,6 +110,11 @@
     return this.countsByKind;
   }
 
+  /** Returns the counts by workspace. */
+  getWorkspaceCounts(): ReadonlyMap<string, RequestCounts> {
+    return this.countsByWorkspace;
+  }
+
   private scheduleArrival(kind: RequestKind, startedAtMs: number): void {
     const elapsedMs = performance.now() - startedAtMs;
     if (elapsedMs >= this.scenario.lengthMs) return;
@@ -129,14 +137,19 @@
   }
 
   private async handleArrival(kind: RequestKind): Promise<void> {
-    const index = Math.floor(this.random.next() * this.instances.length);
-    const instance = this.instances[index];
+    const instance = this.pickInstance();
     if (!instance) return;
+    const workspace = this.pickWorkspace();
+    if (workspace) {
+      await this.followRetryAfter(kind, workspace);
+      return;
+    }
     this.getCounts(kind).offered += 1;
     const arrivedAtMs = performance.now();
     const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
     let outcome = await this.send(instance, kind, kind.deadlineMs);
     if (outcome.kind === 'refused') {
+      this.getCounts(kind).refusedAttempts += 1;
       const remainingMs = deadlineAtMs - performance.now();
       const retryDelayMs = Math.min(
         outcome.retryAfterMs,
@@ -149,6 +162,59 @@
     this.recordOutcome(kind, outcome, performance.now() - arrivedAtMs);
   }
 
+  private async followRetryAfter(
+    kind: RequestKind,
+    workspace: WorkspaceSpec,
+  ): Promise<void> {
+    const allCounts = [this.getCounts(kind), this.getWorkspace(workspace)];
+    for (const counts of allCounts) counts.offered += 1;
+    const arrivedAtMs = performance.now();
+    const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
+    const key = toKey(workspace);
+    const requestId = this.newRequestId();
+    for (;;) {
+      const instance = this.pickInstance();
+      if (!instance) return;
+      const remainingMs = deadlineAtMs - performance.now();
+      const sent = {key, requestId};
+      const outcome = await this.send(instance, kind, remainingMs, sent);
+      const nowMs = performance.now();
+      if (outcome.kind === 'refused') {
+        for (const counts of allCounts) counts.refusedAttempts += 1;
+        if (nowMs + outcome.retryAfterMs < deadlineAtMs) {
+          const {retryAfterMs} = outcome;
+          await new Promise(resolve => setTimeout(resolve, retryAfterMs));
+          continue;
+        }
+      }
+      for (const counts of allCounts) {
+        addOutcome(counts, kind, outcome, nowMs - arrivedAtMs);
+      }
+      return;
+    }
+  }
+
+  private pickInstance(): ModelledInstance | undefined {
+    const index = Math.floor(this.random.next() * this.instances.length);
+    return this.instances[index];
+  }
+
+  private pickWorkspace(): WorkspaceSpec | undefined {
+    const {workspaces} = this.scenario;
+    if (!workspaces) return undefined;
+    const sum = workspaces.reduce((total, {weight}) => total + weight, 0);
+    let left = this.random.next() * sum;
+    return workspaces.find(({weight}) => {
+      left -= weight;
+      return left < 0;
+    });
+  }
+
+  private newRequestId(): string {
+    this.requestCount += 1;
+    return String(this.requestCount);
+  }
+
   private async handleDownstreamCall(
     target: TargetSpec,
     call: DownstreamCall,
@@ -168,9 +234,9 @@
     instance: ModelledInstance,
     kind: RequestKind,
     timeoutMs: number,
+    sent: {readonly key?: string; readonly requestId?: string} = {},
   ): Promise<RelayOutcome> {
-    this.requestCount += 1;
-    const requestId = String(this.requestCount);
+    const {key, requestId = this.newRequestId()} = sent;
     const request: CallerRequest = {
       requestId,
       method: kind.isIdempotent ? 'GET' : 'POST',
@@ -178,6 +244,7 @@
       path: `/${kind.name}/${requestId}`,
       headers: [],
       body: new Uint8Array(),
+      key,
       timeoutMs,
       receivedAtMs: performance.now(),
       signal: new AbortController().signal,
@@ -197,11 +264,16 @@
     outcome: RelayOutcome,
     durationMs: number,
   ): void {
-    const counts = this.getCounts(kind);
-    if (outcome.kind === 'refused') counts.refused += 1;
-    else if (!isSuccess(outcome)) counts.failed += 1;
-    else if (durationMs <= kind.objectiveMs) counts.inTime += 1;
-    else counts.late += 1;
+    addOutcome(this.getCounts(kind), kind, outcome, durationMs);
+  }
+
+  private getWorkspace({id}: WorkspaceSpec): RequestCounts {
+    let counts = this.countsByWorkspace.get(id);
+    if (!counts) {
+      counts = newRequestCounts();
+      this.countsByWorkspace.set(id, counts);
+    }
+    return counts;
   }
 
   private recordAnsweringGate(
@@ -251,8 +323,32 @@
   return outcome.kind === 'answered' && outcome.statusCode === 200;
 }
 
+function addOutcome(
+  counts: RequestCounts,
+  kind: RequestKind,
+  outcome: RelayOutcome,
+  durationMs: number,
+): void {
+  if (outcome.kind === 'refused') counts.refused += 1;
+  else if (!isSuccess(outcome)) counts.failed += 1;
+  else if (durationMs <= kind.objectiveMs) counts.inTime += 1;
+  else counts.late += 1;
+}
+
 function newRequestCounts(): RequestCounts {
-  return {offered: 0, inTime: 0, late: 0, refused: 0, failed: 0, remote: 0};
+  return {
+    offered: 0,
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    refusedAttempts: 0,
+    failed: 0,
+    remote: 0,
+  };
+}
+
+function toKey({id}: WorkspaceSpec): string {
+  return `key-of-${id}`;
 }
 
 function toMember(target: TargetSpec): MemberRecord {
@@ -280,7 +376,12 @@
       ownerId: 'o',
       dataCentreIds,
     })),
-    ...scenario.kinds.map(toRule),
+    ...scenario.kinds.map(kind => toRule(kind, scenario)),
+    ...(scenario.workspaces ?? []).map(workspace => ({
+      kind: 'workspace',
+      id: workspace.id,
+      keyDigests: [digestText(toKey(workspace))],
+    })),
   ].map(record => RECORD_SCHEMA.parse(record));
   const state = newStateFromRecords(1, records);
   return {
@@ -290,8 +391,9 @@
   };
 }
 
-function toRule(kind: RequestKind): unknown {
+function toRule(kind: RequestKind, {workspaces}: LoadScenario): unknown {
   return {
+    ...(workspaces ? {isPublic: kind.perSecond === 0} : {}),
     kind: 'rule',
     id: kind.name,
     serviceId: kind.serviceId,
--- a/packages/test-support/src/load_model/types.ts
+++ b/packages/test-support/src/load_model/types.ts
@@ -44,6 +44,13 @@
   readonly factor: number;
 }
 
+/** A workspace whose callers send requests. */
+export interface WorkspaceSpec {
+  readonly id: string;
+  /** Its requests, relative to those of other workspaces. */
+  readonly weight: number;
+}
+
 /** Input of one simulation run, apart from its seed. */
 export interface LoadScenario {
   /** Time during which callers send requests. */
@@ -53,6 +60,11 @@
   readonly targets: readonly TargetSpec[];
   readonly kinds: readonly RequestKind[];
   readonly bursts: readonly LoadBurst[];
+  /**
+   * Workspaces of the callers. Their callers come back after each refusal when they
+   * were told to, until their deadline; only called kinds need no key.
+   */
+  readonly workspaces?: readonly WorkspaceSpec[];
 }
 
 /** Number of requests of one kind, by outcome. */
@@ -65,6 +77,8 @@
   late: number;
   /** Refused at the last attempt. */
   refused: number;
+  /** Attempts that were refused, including those that were repeated. */
+  refusedAttempts: number;
   /** All other outcomes. */
   failed: number;
   /** Those in time or late that a target in another data centre answered. */
