--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,6 +4,7 @@
 /** Layers from lowest to highest: a package may import only earlier ones. */
 const PACKAGE_ORDER = [
   'inventory',
+  'http-client',
   'store',
   'peer-protocol',
   'coordination',
