Treat invalid and reset responses of targets as lost in the relay

Cause: a reset that a write saw as ECONNRESET ended a response without a length as complete; one that came during a write could be reported as a clean end. Status 600 to 999, control bytes in the reason and unknown transfer codings were answers. Other invalid heads counted as target-lost, so that their request was a crash suspect. The rest of a long upload was dropped after an early answer on a fresh connection.

Change: the target client uses the checked client; invalid bytes are answer-foreign. Resets are recorded by connection, not by client.

--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,6 +5,7 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
+import {isFramed} from '@cassiaknot/http-client';
 import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   CallId,
@@ -25,7 +26,7 @@
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
-import {flattenHeaders, isFramed} from './response_headers.js';
+import {flattenHeaders} from './response_headers.js';
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
--- a/packages/relay/src/response_headers.ts
+++ b/packages/relay/src/response_headers.ts
@@ -20,11 +20,3 @@
   }
   return flat;
 }
-
-/** Whether a response declares its length or is chunked. */
-export function isFramed(headers: ResponseHeaders): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
--- a/packages/relay/src/response_reader.ts
+++ b/packages/relay/src/response_reader.ts
@@ -1,5 +1,6 @@
 /** Reads the response to one request to a target. */
 
+import {InvalidResponseError} from '@cassiaknot/http-client';
 import type {Dispatcher} from 'undici';
 import {RESPONSE_MEMORY_LIMITS} from './constants.js';
 import type {
@@ -9,7 +10,6 @@
 } from './counting_client.js';
 import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {LossReason} from './outcome.js';
-import {isFramed} from './response_headers.js';
 import type {ResponseBuffer} from './response_memory.js';
 import {ResponseMemory} from './response_memory.js';
 import type {
@@ -18,7 +18,6 @@
   TargetRequest,
 } from './target_client.js';
 
-const MIN_FINAL_STATUS = 200;
 /** Never that of a first response. */
 const UNKNOWN_COUNT = Number.MAX_SAFE_INTEGER;
 const EMPTY_BODY = new Uint8Array();
@@ -74,9 +73,10 @@
     statusCode: number,
     headers: ResponseHeaders,
   ): void {
-    if (statusCode < MIN_FINAL_STATUS || this.isSettled()) return;
-    const precedingResponseCount =
-      this.client?.countResponse(isFramed(headers)) ?? UNKNOWN_COUNT;
+    if (this.isSettled()) return;
+    const precedingResponseCount = this.client
+      ? this.client.getResponseCount() - 1
+      : UNKNOWN_COUNT;
     this.head = {statusCode, headers, precedingResponseCount};
     this.classification = this.request.classify(this.head);
     if (isIdentified(this.classification)) {
@@ -97,7 +97,6 @@
   }
 
   onResponseEnd(): void {
-    this.client?.endResponse();
     const {head, classification, buffer} = this;
     if (this.isSettled() || !head || !classification || !buffer) return;
     this.settle(this.toResponse(head, classification, buffer.take()));
@@ -144,11 +143,7 @@
 }
 
 /** Whether an error has a field of the given value. */
-export function isErrorWith(
-  error: unknown,
-  field: string,
-  value: string,
-): boolean {
+function isErrorWith(error: unknown, field: string, value: string): boolean {
   if (!(error instanceof Error)) return false;
   return Reflect.get(error, field) === value;
 }
@@ -165,6 +160,9 @@
 }
 
 function classifyError(error: Error, hasHead: boolean): TargetExchange {
+  if (error instanceof InvalidResponseError) {
+    return {kind: 'lost', reason: 'answer-foreign'};
+  }
   const isConnectError = isErrorWith(error, 'syscall', 'connect');
   if (isConnectError || isErrorWith(error, 'code', CONNECT_TIMEOUT_CODE)) {
     const isRefused = isErrorWith(error, 'code', 'ECONNREFUSED');
--- a/packages/relay/src/target_client.ts
+++ b/packages/relay/src/target_client.ts
@@ -2,18 +2,15 @@
 
 import {connect} from 'node:net';
 import {splitAddress} from '@cassiaknot/peer-protocol';
-import type {Dispatcher} from 'undici';
-import {Pool, buildConnector} from 'undici';
+import {Pool} from 'undici';
 import {
   SPARE_TARGET_CONNECTIONS,
   TARGET_CONNECT_TIMEOUT_MS,
 } from './constants.js';
-import type {CountingClientOptions} from './counting_client.js';
 import {CountingClient} from './counting_client.js';
 import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {LossReason} from './outcome.js';
-import {isFramed} from './response_headers.js';
-import {ResponseReader, isErrorWith} from './response_reader.js';
+import {ResponseReader} from './response_reader.js';
 
 /** A request as sent to the target. */
 export interface TargetRequest {
@@ -78,33 +75,25 @@
 export class HttpTargetClient implements RelayTargetClient {
   private readonly pool: Pool;
   private readonly origin: string;
-  private readonly clientOptions: CountingClientOptions;
-  private resetCount = 0;
 
   constructor(
     private readonly address: string,
     slots: number,
   ) {
     this.origin = `http://${address}`;
-    this.clientOptions = {
-      ...CLIENT_OPTIONS,
-      connect: this.newConnector(),
-      onReset: () => {
-        this.resetCount += 1;
-      },
-    };
     this.pool = new Pool(this.origin, {
-      ...this.clientOptions,
       connections: slots + SPARE_TARGET_CONNECTIONS,
-      factory: origin => new CountingClient(origin, this.clientOptions),
+      factory: origin => new CountingClient(origin, CLIENT_OPTIONS),
     });
   }
 
   async send(request: TargetRequest): Promise<TargetExchange> {
-    if (!request.usesFreshConnection) return this.exchange(this.pool, request);
-    const client = new CountingClient(this.origin, this.clientOptions);
-    const result = await this.exchange(client, request);
-    void client.destroy();
+    const reader = new ResponseReader(request);
+    if (!request.usesFreshConnection) return reader.exchange(this.pool);
+    const client = new CountingClient(this.origin, CLIENT_OPTIONS);
+    const result = await reader.exchange(client);
+    if (result.kind === 'response') client.destroyWhenWritten();
+    else void client.destroy();
     return result;
   }
 
@@ -129,34 +118,10 @@
   closeWhenIdle(): Promise<void> {
     return this.pool.close();
   }
-
-  // undici treats a connection reset as the end of a response without a length.
-  private async exchange(
-    dispatcher: Dispatcher,
-    request: TargetRequest,
-  ): Promise<TargetExchange> {
-    const resetsBefore = this.resetCount;
-    const result = await new ResponseReader(request).exchange(dispatcher);
-    if (result.kind !== 'response' || isFramed(result.headers)) return result;
-    if (this.resetCount === resetsBefore) return result;
-    return {kind: 'lost', reason: 'answer-cut'};
-  }
-
-  private newConnector(): buildConnector.connector {
-    const connector = buildConnector({timeout: TARGET_CONNECT_TIMEOUT_MS});
-    return (options, callback) => {
-      connector(options, (...result) => {
-        result[1]?.on('error', error => {
-          // undici also reports errors of its own when a connection closes cleanly.
-          if (isErrorWith(error, 'syscall', 'read')) this.resetCount += 1;
-        });
-        callback(...result);
-      });
-    };
-  }
 }
 
 const CLIENT_OPTIONS = {
+  connect: {timeout: TARGET_CONNECT_TIMEOUT_MS},
   pipelining: 1,
   headersTimeout: 0,
   bodyTimeout: 0,
