Use the checked client in the proxy, for targets and gates

Cause: as in the relay: status 600 and 999 and unknown codings were answers, other invalid heads target-lost; an end during an upload completed a response.

Change: one connection class less with its own detection of resets; invalid bytes are answer-foreign for targets and gate-lost for gates.

--- a/packages/proxy/src/gate_client.ts
+++ b/packages/proxy/src/gate_client.ts
@@ -1,9 +1,9 @@
 /** Sends requests from an entry to gates. */
 
 import {randomUUID} from 'node:crypto';
+import {isFramed, newCheckedAgent} from '@cassiaknot/http-client';
 import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
 import type {GateAddress} from '@cassiaknot/peer-protocol';
-import {Agent} from 'undici';
 import {bufferBody} from './bodies.js';
 import {Cancellation} from './cancellation.js';
 import {
@@ -24,7 +24,6 @@
   SUSPECT_HEADER,
   TARGET_TIME_HEADER,
   TIMEOUT_HEADER,
-  isFramed,
   readNumberHeader,
 } from './headers.js';
 import type {HeaderFields} from './headers.js';
@@ -80,7 +79,7 @@
 
 /** Calls gates over HTTP with a connection pool per gate. */
 export class HttpGateClient implements GateClient {
-  private readonly agent = new Agent({
+  private readonly agent = newCheckedAgent({
     connections: CONNECTIONS_PER_GATE,
     pipelining: 1,
     connect: {timeout: CONNECT_TIMEOUT_MS},
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -73,14 +73,6 @@
   return copied;
 }
 
-/** Whether a response states where its body ends. */
-export function isFramed(fields: HeaderFields): boolean {
-  return (
-    fields['content-length'] !== undefined ||
-    fields['transfer-encoding'] !== undefined
-  );
-}
-
 /** Parses a number header; undefined if absent, invalid or out of range. */
 export function readNumberHeader(
   value: string | string[] | undefined,
--- a/packages/proxy/src/target_client.ts
+++ b/packages/proxy/src/target_client.ts
@@ -1,14 +1,16 @@
 /** Sends requests to the local target of this daemon. */
 
 import {randomUUID} from 'node:crypto';
-import type {Readable} from 'node:stream';
-import {Transform, pipeline} from 'node:stream';
+import {
+  InvalidResponseError,
+  TruncatedResponseError,
+} from '@cassiaknot/http-client';
 import type {Pool} from 'undici';
 import {bufferBody} from './bodies.js';
 import {MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
 import type {Deadline} from './deadline.js';
 import type {HeaderFields} from './headers.js';
-import {CALL_ID_HEADER, isFramed} from './headers.js';
+import {CALL_ID_HEADER} from './headers.js';
 import {isConnectFailure} from './network_errors.js';
 import type {NotRunReason, TargetResponse, UnknownReason} from './outcome.js';
 import {notRun, unknown} from './outcome.js';
@@ -86,7 +88,6 @@
       opaque: use,
     });
     const {statusCode, headers} = response;
-    if (!isFramed(headers)) use.expectConnectionEnd();
     const isRefusal = request.refusalStatuses.includes(statusCode);
     const owner = findOwner(headers, callId);
     if (owner === 'another' || (isRefusal && owner === 'unnamed')) {
@@ -100,14 +101,13 @@
       remainingBody?.destroy();
       return classifyRefusal(owner, use);
     }
-    if (!isFramed(headers) && use.wasReset()) return unknown('answer-cut');
     return {
       kind: 'answered',
       response: {
         statusCode,
         headers,
         body,
-        remainingBody: remainingBody && failOnReset(remainingBody, use),
+        remainingBody,
       },
       targetTimeUs: (performance.now() - startedAtMs) * US_PER_MS,
     };
@@ -134,18 +134,9 @@
   return isOwn ? notRun('target-shed') : unknown('answer-foreign');
 }
 
-// The stream of a response without a length also ends when its connection is reset.
-function failOnReset(body: Readable, use: ConnectionUse): Readable {
-  const checkedBody = new Transform({
-    transform: (chunk, _encoding, callback) => callback(null, chunk),
-    flush: callback =>
-      callback(use.wasReset() ? new Error('connection reset') : null),
-  });
-  // Errors reach the reader of the checked body.
-  return pipeline(body, checkedBody, () => undefined);
-}
-
 function classifyFailure(error: unknown, deadline: Deadline): TargetOutcome {
+  if (error instanceof InvalidResponseError) return unknown('answer-foreign');
+  if (error instanceof TruncatedResponseError) return unknown('answer-cut');
   if (isConnectFailure(error)) {
     return {kind: 'not-run', reason: 'connect-failed'};
   }
