--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -4,9 +4,11 @@
  */
 
 import {createInterface} from 'node:readline';
+import {newCheckedAgent} from '@cassiaknot/http-client';
 import type {Result} from 'ts-results-es';
 import {Err, Ok} from 'ts-results-es';
-import {Agent, request} from 'undici';
+import type {Agent} from 'undici';
+import {request} from 'undici';
 import type {z} from 'zod';
 import {
   ETCD_ANY_SCHEMA,
@@ -52,7 +54,7 @@
   private readonly agent: Agent;
 
   constructor(private readonly options: HttpStoreOptions) {
-    this.agent = new Agent({
+    this.agent = newCheckedAgent({
       connections: MAX_CONNECTIONS,
       connect: {timeout: options.timeoutMs},
       pipelining: 1,
