Test invalid responses, and cut ones during an upload, over raw TCP

Cause: no test sent an invalid head or ended a response while the request was still being written.

The early answer on a fresh connection: body not written to its end when the client was destroyed at once.

--- a/packages/test-support/src/cut_responses.test.ts
+++ b/packages/test-support/src/cut_responses.test.ts
@@ -12,7 +12,7 @@
 import fc from 'fast-check';
 import {cutResponses} from './targets/cut_responses.js';
 import {RawTarget} from './targets/raw_target.js';
-import type {Caller, NewCaller} from './targets/target_callers.js';
+import type {Caller, Method, NewCaller} from './targets/target_callers.js';
 import {
   newFreshRelayCaller,
   newProxyCaller,
@@ -27,10 +27,10 @@
 /** Longer than what is buffered before a response is passed on. */
 const LONG_BODY = 'x'.repeat(4 * MAX_BUFFERED_RESPONSE_BYTES);
 
-function newGateCaller(address: string): Caller {
+function newGateCaller(address: string): Pick<Caller, 'send' | 'close'> {
   const client = new HttpGateClient();
   return {
-    async send(method) {
+    async send(method: Method) {
       const deadline = new Deadline(TIMEOUT_MS);
       const {outcome} = await client.call({
         instanceId: brandId<InstanceId>('i'),
@@ -53,7 +53,9 @@
 }
 
 interface Hop {
-  readonly newCaller: NewCaller;
+  readonly newCaller: (
+    ...args: Parameters<NewCaller>
+  ) => Pick<Caller, 'send' | 'close'>;
   /** Header fields of the responses on this hop. */
   readonly fields: readonly string[];
   /** Outcome of a request whose response was cut. */
--- a/packages/test-support/src/targets/raw_target.ts
+++ b/packages/test-support/src/targets/raw_target.ts
@@ -11,11 +11,15 @@
 export interface RawResponse {
   readonly bytes: string;
   readonly end: ConnectionEnd;
+  /** Number of bytes that are sent ahead of the others; all at once if absent. */
+  readonly firstBytes?: number;
 }
 
 const HOST = '127.0.0.1';
 /** Time for a receiver to read what was written before a reset. */
 const RESET_DELAY_MS = 2;
+/** Time for a receiver to read the first part of a response. */
+const PART_DELAY_MS = 2;
 
 /** Answers each request, read as one block of data, with the next response. */
 export class RawTarget {
@@ -61,9 +65,19 @@
       socket.destroy();
       return;
     }
-    const {bytes, end} = response;
-    if (end === 'fin') socket.end(bytes);
-    else socket.write(bytes);
+    const {bytes, firstBytes = 0} = response;
+    if (firstBytes > 0) {
+      socket.write(bytes.slice(0, firstBytes), 'latin1');
+      setTimeout(
+        () => this.finish(socket, bytes.slice(firstBytes), response.end),
+        PART_DELAY_MS,
+      );
+    } else this.finish(socket, bytes, response.end);
+  }
+
+  private finish(socket: Socket, bytes: string, end: ConnectionEnd): void {
+    if (end === 'fin') socket.end(bytes, 'latin1');
+    else socket.write(bytes, 'latin1');
     if (end !== 'reset') return;
     setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
   }
--- a/packages/test-support/src/targets/target_callers.ts
+++ b/packages/test-support/src/targets/target_callers.ts
@@ -10,11 +10,13 @@
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Method of a request. */
-export type Method = 'GET' | 'HEAD';
+export type Method = 'GET' | 'HEAD' | 'POST';
 
 /** Sends one request and returns the kind of its outcome. */
 export interface Caller {
-  send(method: Method): Promise<string>;
+  send(method: Method, body?: Buffer): Promise<string>;
+  /** Sends one request; returns the kind of its outcome with the reason or status. */
+  describe(method: Method, body?: Buffer): Promise<string>;
   close(): Promise<void>;
 }
 
@@ -26,18 +28,30 @@
   usesFreshConnection: boolean,
 ): Caller {
   const client = new RelayTargetClient(address, 1);
+  const exchange = (method: Method, body: Buffer) =>
+    client.send({
+      method,
+      path: '/',
+      headers: ['Host', 'h'],
+      body,
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+      usesFreshConnection,
+      classify: () => ({kind: 'answer'}),
+    });
   return {
-    async send(method) {
-      const exchange = await client.send({
-        method,
-        path: '/',
-        headers: ['Host', 'h'],
-        body: EMPTY_BODY,
-        signal: AbortSignal.timeout(TIMEOUT_MS),
-        usesFreshConnection,
-        classify: () => ({kind: 'answer'}),
-      });
-      return exchange.kind;
+    async send(method, body = EMPTY_BODY) {
+      return (await exchange(method, body)).kind;
+    },
+    async describe(method, body = EMPTY_BODY) {
+      const result = await exchange(method, body);
+      switch (result.kind) {
+        case 'response':
+          return `answered ${result.statusCode}`;
+        case 'unconnected':
+          return 'not-run';
+        case 'lost':
+          return `lost ${result.reason}`;
+      }
     },
     close: () => client.close(),
   };
@@ -47,19 +61,33 @@
 export function newProxyCaller(address: string): Caller {
   const origin = `http://${address}`;
   const client = new ProxyTargetClient({origin, connections: 1});
+  const exchange = async (method: Method, body: Buffer) => {
+    const deadline = new Deadline(TIMEOUT_MS);
+    const outcome = await client.send({
+      method,
+      path: '/',
+      headers: ['Host', 'h'],
+      body,
+      refusalStatuses: [],
+      deadline,
+    });
+    deadline.dispose();
+    return outcome;
+  };
   return {
-    async send(method) {
-      const deadline = new Deadline(TIMEOUT_MS);
-      const outcome = await client.send({
-        method,
-        path: '/',
-        headers: ['Host', 'h'],
-        body: EMPTY_BODY,
-        refusalStatuses: [],
-        deadline,
-      });
-      deadline.dispose();
-      return outcome.kind;
+    async send(method, body = EMPTY_BODY) {
+      return (await exchange(method, body)).kind;
+    },
+    async describe(method, body = EMPTY_BODY) {
+      const outcome = await exchange(method, body);
+      switch (outcome.kind) {
+        case 'answered':
+          return `answered ${outcome.response.statusCode}`;
+        case 'not-run':
+          return 'not-run';
+        case 'unknown':
+          return `lost ${outcome.reason}`;
+      }
     },
     close: () => client.close(),
   };
