Bundle all parts of undici that the packages import

The replacement has named exports now, so that the bundler fails on a missing one; taking one out stops the build.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,7 +8,7 @@
 import {resolve} from 'node:path';
 import {build} from 'esbuild';
 
-const UNDICI_CORE_PATH = 'scripts/undici_core.cjs';
+const UNDICI_CORE_PATH = 'scripts/undici_core.mjs';
 const LAUNCHER_PATH = 'target/cassiaknot.cjs';
 /** Must be the same as in `deploy/system.toml`, or V8 rejects the code cache. */
 const NODE_FLAGS = ['--max-old-space-size=160'];
