Enforce quotas of workspaces with permits lent by one lender per data centre

Limits of workspaces hold over all instances together, without a store call per request. Entries ask the lender of the workspace for permits over the gate links; the lender's bucket bounds tokens and lent permits together. Instances that do not reach the lender of the first rank vote for another one, so that no part of the rate is lent twice.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -8,6 +8,7 @@
   ServiceId,
 } from '@cassiaknot/inventory';
 import {brandId, makeRecordKey} from '@cassiaknot/inventory';
+import type {RelayLinkEvents} from '@cassiaknot/peer-protocol';
 import {
   WebSocketRelayTransport,
   WebSocketTransport,
@@ -29,6 +30,7 @@
   LoopDelay,
   SWEEP_INTERVAL_MS,
   LocalTarget,
+  MeshQuotas,
   openLocalLink,
 } from '@cassiaknot/relay';
 import {SlidingRetryBudget} from '@cassiaknot/routing';
@@ -64,6 +66,7 @@
   private readonly coordinator: Coordinator;
   private readonly localTarget: LocalTarget;
   private readonly gate: RelayGate;
+  private readonly quotas: MeshQuotas | undefined;
   private readonly gateDirectory: GateDirectory;
   private readonly callerServer: CallerServer;
   private readonly relayTransport = new WebSocketRelayTransport();
@@ -95,6 +98,7 @@
       onTargetChange: () => this.gate.publishTargetState(),
     });
     this.gate = this.newGate();
+    this.quotas = this.newQuotas();
     this.gateDirectory = this.newGateDirectory();
     this.callerServer = this.newCallerServer();
     this.metricsServer = createServer((_request, response) => {
@@ -112,7 +116,7 @@
     this.startedAtMs = performance.now();
     await this.relayTransport.listen(
       identity.gateAddress,
-      this.gate.getLinkEvents(),
+      this.getGateEvents(),
     );
     await this.coordinator.start();
     await this.callerServer.listen(callerAddress.host, callerAddress.port);
@@ -241,6 +245,7 @@
       this.options.log.write('info', 'config', 'in-force', {version});
     }
     this.gateDirectory.sweep();
+    this.quotas?.sweep();
     this.localTarget.sweep();
     this.logFirstReadiness();
     void this.discoverTarget();
@@ -346,9 +351,29 @@
       self: identity.instanceId,
       dataCentreId: identity.dataCentreId,
       dial: (address, events) => this.relayTransport.dial(address, events),
-      openLocalLink: events => openLocalLink(events, this.gate.getLinkEvents()),
+      openLocalLink: events => openLocalLink(events, this.getGateEvents()),
       random: new SeededRandom(Math.floor(Math.random() * MAX_SEED)),
       observer: this.observer,
+      ...(this.quotas ? {watcher: this.quotas} : {}),
+    });
+  }
+
+  private getGateEvents(): RelayLinkEvents {
+    const events = this.gate.getLinkEvents();
+    return this.quotas?.wrapGateEvents(events) ?? events;
+  }
+
+  private newQuotas(): MeshQuotas | undefined {
+    const {identity, quotaBounds: bounds} = this.options;
+    if (!bounds) return undefined;
+    return new MeshQuotas({
+      self: identity.instanceId,
+      dataCentreId: identity.dataCentreId,
+      bounds,
+      getConfiguration: () => this.coordinator.getConfiguration(),
+      getMemberCount: () => countLiveMembers(this.coordinator),
+      observer: this.observer,
+      random: Math.random,
     });
   }
 
@@ -364,6 +389,7 @@
       getCallerServiceId,
       observer: this.observer,
       random: Math.random,
+      ...(this.quotas ? {quotaGate: this.quotas} : {}),
     });
     return new CallerServer({
       entry,
@@ -398,6 +424,7 @@
       getRunningCount: () =>
         this.localTarget.getSession()?.getLoad().running ?? 0,
       getDroppedLogLineCount: this.options.getDroppedLogLineCount,
+      getLentWorkspaceCount: () => this.quotas?.getLentCount() ?? 0,
     });
   }
 
--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -12,6 +12,7 @@
   getWaitingCount(): number;
   getRunningCount(): number;
   getDroppedLogLineCount(): number;
+  getLentWorkspaceCount(): number;
 }
 
 /** Upper bounds of the latency buckets, in milliseconds. */
@@ -74,6 +75,11 @@
         'Log lines left out because the output was not read',
         () => gauges.getDroppedLogLineCount(),
       ],
+      [
+        'cassiaknot_lent_workspaces',
+        'Workspaces of which this instance lends permits',
+        () => gauges.getLentWorkspaceCount(),
+      ],
     ];
     for (const [name, help, readValue] of gaugeDefinitions) {
       registerGauge(this.registry, name, help, readValue);
--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -8,7 +8,7 @@
 } from '@cassiaknot/coordination';
 import type {PeerAddress} from '@cassiaknot/peer-protocol';
 import type {HeaderCodec, TargetAnnouncement} from '@cassiaknot/relay';
-import type {SlidingRetryBudgetOptions} from '@cassiaknot/routing';
+import type {QuotaBounds, SlidingRetryBudgetOptions} from '@cassiaknot/routing';
 import type {KeyValueStore} from '@cassiaknot/store';
 import type {DecisionLog} from './decision_log.js';
 
@@ -30,6 +30,8 @@
   /** Reads and writes the HTTP headers of the platform. */
   readonly headerCodec: HeaderCodec;
   readonly retryBudget: SlidingRetryBudgetOptions;
+  /** Accuracy of the quotas of workspaces; without it there are none. */
+  readonly quotaBounds?: QuotaBounds;
   /** Time from the stop signal until the platform kills the process. */
   readonly shutdownGracePeriodMs: number;
   /** Address of the local target; it may change at run time. */
--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -11,7 +11,7 @@
 import {Err, Ok} from 'ts-results-es';
 import {z} from 'zod';
 import type {DecodeError} from './codec.js';
-import {SERVICE_ID_SCHEMA} from './member_record.js';
+import {INSTANCE_ID_SCHEMA, SERVICE_ID_SCHEMA} from './member_record.js';
 
 /** Identifies a request in flight; unique within one link. */
 export type CallId = Branded<'CallId'>;
@@ -139,6 +139,39 @@
   startedAtMs: z.number().optional(),
 });
 
+const REQUEST_NUMBER_SCHEMA = z.number().int().min(0);
+const PERMIT_COUNT_SCHEMA = z.number().int().min(0).max(1_000_000_000);
+
+/**
+ * Asks the lender of a workspace for permits. Without any count it asks an instance
+ * to vote for the sender as the lender.
+ */
+const PERMIT_REQUEST_SCHEMA = z.object({
+  kind: z.literal('permit-request'),
+  /** Unique within the process of the sender. */
+  requestNumber: REQUEST_NUMBER_SCHEMA,
+  workspaceId: z
+    .string()
+    .max(64)
+    .transform(value => brandId<WorkspaceId>(value)),
+  count: PERMIT_COUNT_SCHEMA,
+  /** Unused permits that the sender no longer holds. */
+  returnedCount: PERMIT_COUNT_SCHEMA,
+  /** Instance that asks for a vote; omitted in requests for permits. */
+  candidateId: INSTANCE_ID_SCHEMA.optional(),
+});
+
+/** Lends permits, or votes for the candidate with a count of 1. */
+const PERMIT_GRANT_SCHEMA = z.object({
+  kind: z.literal('permit-grant'),
+  requestNumber: REQUEST_NUMBER_SCHEMA,
+  count: PERMIT_COUNT_SCHEMA,
+  /** Validity of the permits, counted from when the request was sent. */
+  validMs: DURATION_MS_SCHEMA,
+  /** Time until further permits are likely; 0 if all were granted. */
+  retryAfterMs: DURATION_MS_SCHEMA,
+});
+
 // The order of the schemas and of their fields is part of the wire format.
 const SCHEMAS = [
   OFFER_SCHEMA,
@@ -149,6 +182,8 @@
   REFUSAL_SCHEMA,
   LOSS_SCHEMA,
   TARGET_STATE_SCHEMA,
+  PERMIT_REQUEST_SCHEMA,
+  PERMIT_GRANT_SCHEMA,
 ] as const;
 
 /** Any frame between an entry and a gate. */
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -19,7 +19,7 @@
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
 import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
-import {describeOutcome} from './outcome.js';
+import {describeOutcome, getRefusalStatus} from './outcome.js';
 
 /** Limits on requests and connections of callers. */
 export type CallerLimits = Omit<CallerLimitsRecord, 'kind' | 'id'>;
@@ -351,7 +351,7 @@
     switch (outcome.kind) {
       case 'refused': {
         const isUnknownRoute = outcome.reason === 'no-route';
-        response.statusCode = isUnknownRoute ? 404 : 503;
+        response.statusCode = getRefusalStatus(outcome.reason);
         if (!isUnknownRoute) {
           const seconds = outcome.retryAfterMs / MS_PER_SECOND;
           response.setHeader('Retry-After', seconds.toFixed(3));
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -14,6 +14,7 @@
 import type {
   CallerRequest,
   EntryContext,
+  QuotaAdmission,
   RelayEntryOptions,
   RoutePlan,
 } from './entry_types.js';
@@ -99,6 +100,35 @@
       const outcome: RelayOutcome = {kind: 'lost', reason: 'cancelled'};
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
+    const admission = await this.admit(plan);
+    if (!admission.isAdmitted) return refuseOverQuota(plan, admission);
+    const routed = await this.routeAdmitted(request, plan);
+    const isUnused = routed.outcome.kind === 'refused';
+    if (isUnused) this.releasePermit(plan, admission);
+    return routed;
+  }
+
+  // Without a limit there is no promise to wait for.
+  private admit(plan: RoutePlan): QuotaAdmission | Promise<QuotaAdmission> {
+    const {workspace} = plan;
+    const {quotaGate} = this.options;
+    if (!workspace || !quotaGate) return {isAdmitted: true};
+    return quotaGate.acquire(workspace, performance.now());
+  }
+
+  private releasePermit(
+    {workspace}: RoutePlan,
+    {permitExpiresAtMs}: Extract<QuotaAdmission, {isAdmitted: true}>,
+  ): void {
+    if (!workspace || permitExpiresAtMs === undefined) return;
+    const nowMs = performance.now();
+    this.options.quotaGate?.release(workspace, permitExpiresAtMs, nowMs);
+  }
+
+  private async routeAdmitted(
+    request: CallerRequest,
+    plan: RoutePlan,
+  ): Promise<RoutedOutcome> {
     this.options.retryBudget.recordRequest(plan.serviceId, performance.now());
     const routed = new RoutedRequest(this, request, plan);
     if (!routed.endsBefore(request.serveUntilMs)) {
@@ -190,6 +220,17 @@
   }
 }
 
+function refuseOverQuota(
+  plan: RoutePlan,
+  refusal: Extract<QuotaAdmission, {isAdmitted: false}>,
+): RoutedOutcome {
+  const {version, ruleId, workspace} = plan;
+  return {
+    outcome: newRefusal('over-quota', refusal.retryAfterMs),
+    fields: {version, ruleId, workspaceId: workspace?.id, ...refusal.details},
+  };
+}
+
 function isIdempotent(rule: Route['rule'], method: string): boolean {
   return rule.isIdempotent ?? IDEMPOTENT_METHODS.has(method);
 }
--- a/packages/relay/src/entry_types.ts
+++ b/packages/relay/src/entry_types.ts
@@ -4,7 +4,7 @@
 import type {RuleId, ServiceId, WorkspaceRecord} from '@cassiaknot/inventory';
 import type {KeyedEwma, SlidingRetryBudget} from '@cassiaknot/routing';
 import type {GateDirectory} from './gate_directory.js';
-import type {RelayObserver} from './observer.js';
+import type {LogFields, RelayObserver} from './observer.js';
 
 /** A request received from a caller, with its complete body. */
 export interface CallerRequest {
@@ -44,6 +44,8 @@
   readonly getCallerServiceId: () => string;
   readonly observer: RelayObserver;
   readonly random: () => number;
+  /** Enforces the limits of workspaces; without it there are none. */
+  readonly quotaGate?: QuotaGate;
 }
 
 /** Routing parameters of one request, with defaults applied. */
@@ -62,8 +64,17 @@
 
 /** Whether the quota of a workspace has room for a request. */
 export type QuotaAdmission =
-  | {readonly isAdmitted: true}
-  | {readonly isAdmitted: false; readonly retryAfterMs: number};
+  | {
+      readonly isAdmitted: true;
+      /** When the permit expires; undefined without a limit. */
+      readonly permitExpiresAtMs?: number;
+    }
+  | {
+      readonly isAdmitted: false;
+      readonly retryAfterMs: number;
+      /** Fields that explain the refusal, for its log line. */
+      readonly details?: LogFields;
+    };
 
 /** Enforces the quotas of workspaces over all instances. */
 export interface QuotaGate {
@@ -73,9 +84,19 @@
     nowMs: number,
   ): QuotaAdmission | Promise<QuotaAdmission>;
   /** Returns the permit of a request that was certainly not run. */
-  release(workspace: WorkspaceRecord, nowMs: number): void;
+  release(
+    workspace: WorkspaceRecord,
+    permitExpiresAtMs: number,
+    nowMs: number,
+  ): void;
 }
 
+/** Admits all requests. */
+export const NO_QUOTAS: QuotaGate = {
+  acquire: () => ({isAdmitted: true}),
+  release: () => undefined,
+};
+
 /** State shared by all requests of one entry. */
 export interface EntryContext {
   readonly options: RelayEntryOptions;
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -21,6 +21,15 @@
 import type {RelayObserver} from './observer.js';
 import {SendClock} from './transit_delay.js';
 
+/** Learns of gates and of their links. */
+export interface GateWatcher {
+  onKnown(link: GateLink, dataCentreId: string): void;
+  onOpen(instanceId: InstanceId): void;
+  onClose(instanceId: InstanceId): void;
+  onForgotten(instanceId: InstanceId): void;
+  onPermitGrant(grant: RelayFrameOf<'permit-grant'>): void;
+}
+
 /** Dependencies of a {@link GateDirectory}. */
 export interface GateDirectoryOptions {
   readonly self: InstanceId;
@@ -30,6 +39,7 @@
   readonly openLocalLink: (events: RelayLinkEvents) => RelayLink;
   readonly random: RandomSource;
   readonly observer: RelayObserver;
+  readonly watcher?: GateWatcher;
 }
 
 /** A gate with its link and dial state. */
@@ -81,6 +91,7 @@
       if (gate.isDialled) continue;
       if (nowMs - gate.lastSeenAtMs > MEMBER_RETENTION_MS) {
         this.gates.delete(instanceId);
+        this.options.watcher?.onForgotten(instanceId);
       }
     }
     this.dialDue();
@@ -117,6 +128,7 @@
       () => this.handleClose(instanceId),
       state => this.handleTargetState(instanceId, state),
       this.sendClock,
+      grant => this.options.watcher?.onPermitGrant(grant),
     );
     const gate: KnownGate = {
       link,
@@ -128,6 +140,7 @@
       lastSeenAtMs: nowMs,
     };
     this.gates.set(instanceId, gate);
+    this.options.watcher?.onKnown(link, dataCentreId);
     if (instanceId === this.options.self) this.dial(instanceId, gate);
   }
 
@@ -177,6 +190,7 @@
     gate.isDialled = false;
     gate.openingSinceMs = undefined;
     gate.nextDialAtMs = performance.now() + gate.backoff.next();
+    this.options.watcher?.onClose(instanceId);
     this.options.observer.log('info', COMPONENT, 'lost', {gate: instanceId});
   }
 
@@ -199,7 +213,9 @@
       slots,
       coldMs: Math.round(coldMs),
     });
-    if (isOpening) this.dialDue();
+    if (!isOpening) return;
+    this.options.watcher?.onOpen(instanceId);
+    this.dialDue();
   }
 
   private addAccepting(serviceId: string, link: GateLink): void {
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -119,6 +119,9 @@
       state: RelayFrameOf<'target-state'>,
     ) => void = () => undefined,
     private readonly sendClock = new SendClock(),
+    private readonly onPermitGrant: (
+      grant: RelayFrameOf<'permit-grant'>,
+    ) => void = () => undefined,
   ) {}
 
   /** Returns the handlers for the transport that opens this link. */
@@ -183,6 +186,11 @@
     return {callId, reply, silence};
   }
 
+  /** Asks for permits or a vote; `false` if the link is not open. */
+  requestPermits(request: RelayFrameOf<'permit-request'>): boolean {
+    return this.isOpen && this.link?.send(request) === true;
+  }
+
   /** Withdraws an offer that has no reply yet. */
   cancel(callId: CallId): void {
     if (!this.pending.has(callId)) return;
@@ -306,6 +314,9 @@
         this.warmUpEndsAtMs = this.lastReceivedAtMs + frame.coldMs;
         this.setTargetState(frame);
         return;
+      case 'permit-grant':
+        this.onPermitGrant(frame);
+        return;
       default:
         return;
     }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -20,6 +20,7 @@
 export * from './gate_directory.js';
 export * from './entry_types.js';
 export * from './entry.js';
+export * from './mesh_quotas.js';
 export * from './routed_request.js';
 export * from './caller_server.js';
 export * from './loop_delay.js';
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -36,13 +36,19 @@
   | 'withdrawn'
   | 'target-refusal'
   | 'target-report'
-  | 'announcement';
+  | 'announcement'
+  /** How a request of a limited workspace got its permit, or why not. */
+  | 'quota'
+  /** What a lender did with a request for permits. */
+  | 'permits';
 
 /** Stages whose latency is measured. */
 export type MeasuredStage =
   | 'request'
   | 'target-run'
   | 'gate-wait'
+  /** Time for which a request waited for a permit. */
+  | 'quota-wait'
   /** Delay of an offer beyond that of the fastest one of its link. */
   | 'offer-transit'
   /** Time by which the event loop ran a periodic task too late. */
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -82,6 +82,18 @@
   return GATE_REFUSAL_REASONS.find(reason => reason === text) ?? 'no-target';
 }
 
+/** Returns the status with which a refusal is reported to the caller. */
+export function getRefusalStatus(reason: RefusalReason): number {
+  switch (reason) {
+    case 'no-route':
+      return 404;
+    case 'over-quota':
+      return 429;
+    default:
+      return 503;
+  }
+}
+
 /** Creates the outcome of a refused request. */
 export function newRefusal(
   reason: RefusalReason,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,3 +6,4 @@
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
 export * from './weighted_round_robin.js';
+export * from './quota/index.js';
