--- a/packages/relay/src/permit_lender.ts
+++ b/packages/relay/src/permit_lender.ts
@@ -223,12 +223,11 @@
     const {peers, self, bounds} = this.options;
     const {id, ratePerSecond = 0, burst = 0} = record;
     // This instance uses its own part itself unless it has voted for another one.
+    const isOwnFirst = peers.isOwnFirst(id);
     const isOwnPart =
-      peers.isBestReached(id, self) &&
+      (isOwnFirst || peers.isBestReached(id, self)) &&
       !this.givenVotes.isGivenToOther(id, self, nowMs);
-    const others = peers.isOwnFirst(id)
-      ? peers.countSettled(nowMs)
-      : votes.count(nowMs);
+    const others = isOwnFirst ? peers.countSettled(nowMs) : votes.count(nowMs);
     const part = {
       dataCentreCount: this.getDataCentreCount(),
       knownCount: peers.countLocal(),
--- a/packages/relay/src/quota_peers.ts
+++ b/packages/relay/src/quota_peers.ts
@@ -37,6 +37,8 @@
   private readonly localPeers = new Map<InstanceId, QuotaPeer>();
   private readonly rankings = new Map<WorkspaceId, Ranking>();
   private changedAtMs = performance.now();
+  /** Result of the last count of settled links; many workspaces share it. */
+  private settled = {count: 0, atMs: -Infinity};
 
   constructor(
     private readonly self: InstanceId,
@@ -140,12 +142,14 @@
 
   /** Returns those of them whose links have been open for long enough. */
   countSettled(nowMs: number): number {
+    if (this.settled.atMs === nowMs) return this.settled.count;
     let count = 0;
     for (const {instanceId, openSinceMs} of this.localPeers.values()) {
       if (instanceId === this.self) continue;
       const openMs = openSinceMs === undefined ? 0 : nowMs - openSinceMs;
       if (openMs >= LINK_SETTLE_MS) count += 1;
     }
+    this.settled = {count, atMs: nowMs};
     return count;
   }
 
@@ -155,6 +159,7 @@
   }
 
   private handleLocalChange(): void {
+    this.settled = {count: 0, atMs: -Infinity};
     this.changedAtMs = performance.now();
   }
 
--- a/packages/relay/src/testing/quota_mesh.ts
+++ b/packages/relay/src/testing/quota_mesh.ts
@@ -33,6 +33,9 @@
 
 export const QUOTA_BOUNDS: QuotaBounds = {windowMs: 5_000, overage: 0.1};
 
+/** Interval at which the directories learn again that all instances are members. */
+const LISTING_INTERVAL_MS = 1_000;
+
 /** Limit of a workspace. */
 export interface TestLimit {
   readonly ratePerSecond: number;
@@ -64,17 +67,14 @@
   process: {quotas: MeshQuotas; directory: GateDirectory} | undefined;
 }
 
-const SILENT_OBSERVER: RelayObserver = {
-  log: () => undefined,
-  count: () => undefined,
-  measure: () => undefined,
-};
-
 /** Instances with their quotas; the test moves the clock. */
 export class QuotaMesh {
   readonly events: QuotaEvent[] = [];
+  /** Counted events of all instances, by event and reason. */
+  readonly counts = new Map<string, number>();
   readonly network: MemoryNetwork;
   private readonly instances: Instance[] = [];
+  private readonly indexes = new Map<InstanceId, number>();
   private readonly random: SeededRandom;
   /** Number of the side on which each instance is; sides don't reach each other. */
   private sides: readonly number[] = [];
@@ -83,6 +83,15 @@
   /** Share of frames that are lost. */
   lossShare = 0;
   private version = 1;
+  private listedAtMs = 0;
+  private readonly observer: RelayObserver = {
+    log: () => undefined,
+    count: (event, reason) => {
+      const key = `${event}/${reason}`;
+      this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+    },
+    measure: () => undefined,
+  };
 
   constructor(private readonly options: QuotaMeshOptions) {
     this.random = new SeededRandom(options.seed);
@@ -98,6 +107,9 @@
         });
       }
     }
+    for (const [index, {id}] of this.instances.entries()) {
+      this.indexes.set(id, index);
+    }
     this.network = new MemoryNetwork({
       isCut: (from, to) => this.getSide(from) !== this.getSide(to),
       getDelayMs: (from, to) => this.getDelayMs(from, to),
@@ -122,7 +134,7 @@
       bounds: QUOTA_BOUNDS,
       getConfiguration: () => instance.configuration,
       getMemberCount: () => this.instances.length,
-      observer: SILENT_OBSERVER,
+      observer: this.observer,
       random: () => this.random.next(),
     });
     const events = quotas.wrapGateEvents(newGateEvents());
@@ -134,7 +146,7 @@
         this.network.dial(id, brandId<InstanceId>(address), linkEvents),
       openLocalLink: linkEvents => openLocalLink(linkEvents, events),
       random: new SeededRandom(index + 1),
-      observer: SILENT_OBSERVER,
+      observer: this.observer,
       watcher: quotas,
     });
     instance.process = {quotas, directory};
@@ -156,9 +168,11 @@
 
   /** Periodic task of all instances. */
   sweep(): void {
-    const members = this.instances.map(newMember);
+    const isListed = performance.now() - this.listedAtMs >= LISTING_INTERVAL_MS;
+    if (isListed) this.listedAtMs = performance.now();
+    const members = isListed ? this.instances.map(newMember) : [];
     for (const {process} of this.instances) {
-      process?.directory.setMembers(members);
+      if (isListed) process?.directory.setMembers(members);
       process?.directory.sweep();
       process?.quotas.sweep();
     }
@@ -218,8 +232,7 @@
   }
 
   private getSide(id: InstanceId): number {
-    const index = this.instances.findIndex(instance => instance.id === id);
-    return this.sides[index] ?? 0;
+    return this.sides[this.indexes.get(id) ?? 0] ?? 0;
   }
 
   private getDelayMs(from: InstanceId, to: InstanceId): number | undefined {
--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -88,10 +88,11 @@
         .option('data-centres', {type: 'number', default: 3})
         .option('workspaces', {type: 'number', default: 82})
         .option('rate', {type: 'number', default: 16})
+        .option('factors', {type: 'number', array: true, default: [1, 5]})
         .option('duration-ms', {type: 'number', default: 5_000}),
     async args => {
       const {sizes, dataCentres, workspaces, durationMs} = args;
-      const {rate: requestsPerSecond} = args;
+      const {rate: requestsPerSecond, factors} = args;
       print(
         await runQuotaBench({
           sizes,
@@ -99,6 +100,7 @@
           workspaces,
           requestsPerSecond,
           durationMs,
+          factors,
         }),
       );
     },
