--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -10,6 +10,8 @@
 import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
 import {
+  UNAUTHORIZED_STATUS,
+  describeRefusal,
   filterHeaders,
   formatRejection,
   readRequest,
@@ -19,7 +21,7 @@
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
 import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
-import {describeOutcome, getRefusalStatus} from './outcome.js';
+import {describeOutcome} from './outcome.js';
 
 /** Limits on requests and connections of callers. */
 export type CallerLimits = Omit<CallerLimitsRecord, 'kind' | 'id'>;
@@ -313,7 +315,7 @@
     signal: AbortSignal,
   ): Omit<CallerRequest, 'serveUntilMs'> {
     const {headerCodec} = this.options;
-    const {requestId, timeoutMs} = headerCodec.parseCallerHeaders(
+    const {requestId, timeoutMs, key} = headerCodec.parseCallerHeaders(
       request.headers,
     );
     const host = (request.headers.host ?? '').toLowerCase();
@@ -324,6 +326,7 @@
       path: request.url ?? '/',
       headers: filterHeaders(request, headerCodec.strippedRequestHeaders),
       body,
+      key,
       timeoutMs,
       receivedAtMs,
       signal,
@@ -350,9 +353,13 @@
     if (closes) response.setHeader('Connection', 'close');
     switch (outcome.kind) {
       case 'refused': {
-        const isUnknownRoute = outcome.reason === 'no-route';
-        response.statusCode = getRefusalStatus(outcome.reason);
-        if (!isUnknownRoute) {
+        const {statusCode, isLasting} = describeRefusal(outcome.reason);
+        response.statusCode = statusCode;
+        if (statusCode === UNAUTHORIZED_STATUS) {
+          const {challenge} = this.options.headerCodec;
+          response.setHeader('WWW-Authenticate', challenge);
+        }
+        if (!isLasting) {
           const seconds = outcome.retryAfterMs / MS_PER_SECOND;
           response.setHeader('Retry-After', seconds.toFixed(3));
         }
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,6 +5,7 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
+import {isFramed} from '@cassiaknot/http-client';
 import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   CallId,
@@ -25,7 +26,7 @@
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
-import {flattenHeaders, isFramed} from './response_headers.js';
+import {flattenHeaders} from './response_headers.js';
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
@@ -205,6 +206,7 @@
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
       urgency: offer.urgency,
+      workspaceId: offer.workspaceId,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -263,13 +265,14 @@
 
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
-    const {requestId, callerServiceId} = offer;
+    const {requestId, callerServiceId, workspaceId} = offer;
     const {targetId} = session.getAnnouncement();
     const added = this.options.headerCodec.formatTargetHeaders({
       requestId,
       remainingMs,
       targetId,
       callerServiceId,
+      workspaceId,
     });
     return [...offer.headers, ...added];
   }
--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -1,4 +1,4 @@
-/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|load|quota`. */
+/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|workspaces|load|quota`. */
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
@@ -8,6 +8,7 @@
 import {runLatencyBench} from './latency_bench.js';
 import {runMembershipBench} from './membership_bench.js';
 import {runQuotaBench} from './quota_bench.js';
+import {runWorkspaceBench} from './workspace_bench.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('npm run bench --')
@@ -64,6 +65,18 @@
       print(runMembershipBench({sizes, dataCentres: 16}));
     },
   )
+  .command(
+    'workspaces',
+    'memory and time of keys by their number',
+    builder =>
+      builder
+        .option('sizes', {type: 'number', array: true, default: [500, 5_000]})
+        .option('workspaces', {type: 'number', default: 82}),
+    args => {
+      const {sizes, workspaces} = args;
+      print(runWorkspaceBench({sizes, workspaces}));
+    },
+  )
   .command(
     'load',
     'simulated load on the production entries and gates',
