--- a/packages/relay/src/permit_lender.ts
+++ b/packages/relay/src/permit_lender.ts
@@ -209,8 +209,9 @@
     }
     const limits = this.getLimits(record, entry.votes, nowMs);
     const {ratePerSecond, burst} = entry.limits;
-    if (limits.ratePerSecond === ratePerSecond && limits.burst === burst)
+    if (limits.ratePerSecond === ratePerSecond && limits.burst === burst) {
       return;
+    }
     entry.limits = limits;
     entry.lender.setLimits(limits, nowMs);
   }
