Keep versions when the store comes back from an older copy

Cause: a store that comes back from a copy issues revisions and lease ids again. The client took an equal number for an equal state: a watch from a cached revision missed the newer document, a swap could replace what another writer had stored, and the renewal of a lost lease could renew that of another instance, so that the own seed was not written again.

Change: the client follows the era of the store and qualifies revisions and leases by the number of changes that it has seen. Those of an earlier one are void (error kind `superseded`), open watches end, readers read the document again after up to 0.2 s, and seeds are written again after up to 1 s. An older version in the store is not installed. The stores for tests can come back from a copy.

--- a/packages/coordination/src/actors/actor_messages.ts
+++ b/packages/coordination/src/actors/actor_messages.ts
@@ -172,6 +172,8 @@
   | {readonly kind: 'head'; readonly reading: SourceReading | undefined}
   | {readonly kind: 'caught-up'; readonly reading: SourceReading}
   | {readonly kind: 'failed'; readonly message: string}
+  /** The store has come back from an older copy: revisions read before are void. */
+  | {readonly kind: 'superseded'}
   | {readonly kind: 'continue'};
 
 /** Messages to the seeds actor. */
@@ -188,6 +190,8 @@
   | {readonly kind: 'renew'}
   /** The store is back after an outage, in which leases may have ended. */
   | {readonly kind: 'store-recovered'}
+  /** The store has come back from an older copy, in which the seed may be missing. */
+  | {readonly kind: 'store-restored'}
   | {readonly kind: 'renewed'; readonly isRegistered: boolean}
   | {readonly kind: 'stop'};
 
--- a/packages/coordination/src/actors/reader_actor.ts
+++ b/packages/coordination/src/actors/reader_actor.ts
@@ -7,11 +7,12 @@
 import type {Result} from 'ts-results-es';
 import {Backoff} from '../backoff.js';
 import type {LogError} from '../configuration_log.js';
-import {describeLogError} from '../configuration_log.js';
+import {describeLogError, isSuperseded} from '../configuration_log.js';
 import type {
   ConfigurationSource,
   SourceReading,
 } from '../configuration_source.js';
+import {randomBetween} from '../random.js';
 import type {ReaderMessage} from './actor_messages.js';
 import type {MessageHandler} from './actor_support.js';
 import type {ControlContext} from './control_context.js';
@@ -20,6 +21,8 @@
 const MIN_RETRY_MS = 100;
 /** A change must be installed within seconds after the store recovers. */
 const MAX_RETRY_MS = 1_000;
+/** Maximum delay of the read after the store has come back from an older copy. */
+const MAX_REREAD_DELAY_MS = 200;
 /** Time for the response of a watch to arrive after a probe has seen its change. */
 const WATCH_LAG_MS = 150;
 /** Factor of the delay while other readers reach the store. */
@@ -101,6 +104,9 @@
       case 'failed':
         this.scheduleRetry(message.message);
         return;
+      case 'superseded':
+        this.scheduleReread();
+        return;
       case 'continue':
         this.continue();
         return;
@@ -200,6 +206,7 @@
     const {published, readiness} = this.context;
     readiness.recordStoreHead(reading.version);
     const {version} = published.getTip();
+    if (reading.version < version) this.reportOlderVersion(reading.version);
     if (reading.version <= version) {
       this.send({kind: 'caught-up', reading});
       return;
@@ -224,6 +231,15 @@
     });
   }
 
+  // An invalid or absent document has version 0 and is reported elsewhere.
+  private reportOlderVersion(version: number): void {
+    if (version === 0) return;
+    const {options, published} = this.context;
+    const heldVersion = published.getTip().version;
+    const message = 'The store has an older version. Keeping the one held.';
+    options.observer.log('warn', COMPONENT, message, {version, heldVersion});
+  }
+
   // Whether another daemon has reached the source while this one read it.
   private isSilenceReadLate(): boolean {
     const {silenceReadAtMs} = this;
@@ -311,6 +327,11 @@
 
   private handleProbeFailure(error: LogError): void {
     this.isProbePending = false;
+    if (isSuperseded(error)) {
+      this.lastRevision = undefined;
+      this.watch?.abort();
+      return;
+    }
     const {observer} = this.context.options;
     observer.count('store-read-failed');
     this.recordFailure();
@@ -349,6 +370,10 @@
   }
 
   private reportFailure(error: LogError): void {
+    if (isSuperseded(error)) {
+      this.send({kind: 'superseded'});
+      return;
+    }
     this.send({kind: 'failed', message: describeLogError(error)});
   }
 
@@ -364,6 +389,26 @@
     setTimeout(() => this.send({kind: 'continue'}), this.getRetryDelayMs());
   }
 
+  // The store responds, but what was read of it is void. The version held stays in
+  // force until the store has a newer one.
+  private scheduleReread(): void {
+    this.watch = undefined;
+    this.silenceReadAtMs = undefined;
+    this.lastRevision = undefined;
+    this.verifiedRevision = 0;
+    const {observer, random} = this.context.options;
+    observer.count('store-restored');
+    const message =
+      'The store has come back from an older copy. Reading it again.';
+    observer.log('warn', COMPONENT, message, {
+      heldVersion: this.context.published.getTip().version,
+    });
+    setTimeout(
+      () => this.send({kind: 'continue'}),
+      randomBetween(random, 0, MAX_REREAD_DELAY_MS),
+    );
+  }
+
   // While other readers reach the store, a retry of this one is less urgent.
   private getRetryDelayMs(): number {
     const {sourceFreshness} = this.context;
--- a/packages/coordination/src/actors/seeds_actor.ts
+++ b/packages/coordination/src/actors/seeds_actor.ts
@@ -26,6 +26,8 @@
 /** Delay after a failed renewal: a seed must be listed again soon after an outage. */
 const MIN_REREGISTER_MS = 500;
 const MAX_REREGISTER_MS = 1_500;
+/** Spreads the seeds that are written again after the store came back from a copy. */
+const MAX_REWRITE_DELAY_MS = 1_000;
 
 /** Lists and dials seeds, and renews the seed key of this daemon. */
 export class SeedsActor implements MessageHandler<SeedsMessage> {
@@ -38,6 +40,8 @@
   /** Whether a call of the renewal cycle is pending. */
   private isCallPending = false;
   private renewalTimer: NodeJS.Timeout | undefined;
+  /** Whether the seed must be written again after the pending call. */
+  private isRewriteDue = false;
   private linkCount = 0;
   /** Whether the next list decides if this daemon registers itself. */
   private isElectingSeed = false;
@@ -75,6 +79,9 @@
       case 'store-recovered':
         this.renewAfterOutage();
         return;
+      case 'store-restored':
+        this.renewAfterRestore();
+        return;
       case 'renewed':
         this.scheduleRenewal(message.isRegistered);
         return;
@@ -238,6 +245,23 @@
     this.renew();
   }
 
+  // A pending call ends with its own renewal, and is repeated all the same: it may
+  // have been answered before the copy came back.
+  private renewAfterRestore(): void {
+    if (!this.isSeed) return;
+    this.isRewriteDue = true;
+    if (!this.isCallPending) this.scheduleRewrite();
+  }
+
+  private scheduleRewrite(): void {
+    this.isRewriteDue = false;
+    clearTimeout(this.renewalTimer);
+    this.renewalTimer = setTimeout(
+      () => this.send({kind: 'renew'}),
+      randomBetween(this.context.options.random, 0, MAX_REWRITE_DELAY_MS),
+    );
+  }
+
   private async renewSeedKey(): Promise<boolean> {
     const {identity, store, timing} = this.context.options;
     if (this.leaseId !== undefined) {
@@ -261,6 +285,10 @@
 
   private scheduleRenewal(isRegistered: boolean): void {
     this.isCallPending = false;
+    if (this.isRewriteDue) {
+      this.scheduleRewrite();
+      return;
+    }
     const {random, timing} = this.context.options;
     const delayMs = isRegistered
       ? timing.seedTtlMs / RENEWALS_PER_TTL
--- a/packages/coordination/src/commit_change.test.ts
+++ b/packages/coordination/src/commit_change.test.ts
@@ -158,6 +158,33 @@
     expect((await readHead(memory)).version).to.equal(1);
   });
 
+  // The copy has the head at an earlier revision, and the one that the write under way
+  // expects is issued again: the write may still take effect.
+  it('reports a write of unknown outcome as unknown after the store came back from a copy', async () => {
+    const memory = new InMemoryStore();
+    const options = {store: memory, backoff: newBackoff(), maxAttempts: 4};
+    const first = newChange('a', 0, [newOwner(1, 'x')]);
+    (await commitChange(first, options)).unwrap();
+    const copy = memory.takeCopy();
+    const second = newChange('a', 1, [newOwner(2, 'y')]);
+    (await commitChange(second, options)).unwrap();
+    let writeCount = 0;
+    const store = new FaultyStore(memory, isWrite => {
+      if (!isWrite) return 'none';
+      writeCount += 1;
+      // The first write stores the change, the second one swaps the head.
+      if (writeCount === 1) return 'none';
+      if (writeCount > 2) return 'unavailable';
+      memory.restore(copy);
+      return 'lose-call';
+    });
+    const third = newChange('a', 1, [newOwner(3, 'z')]);
+    const faulty = {store, backoff: newBackoff(), maxAttempts: 4};
+    const result = await commitChange(third, faulty);
+    expect(writeCount).to.be.greaterThan(2);
+    expect(result.isErr() && result.error.kind).to.equal('unknown');
+  });
+
   it('reports the record, version and author of a conflict', async () => {
     const store = new InMemoryStore();
     const options = {store, backoff: newBackoff(), maxAttempts: 4};
--- a/packages/coordination/src/commit_change.ts
+++ b/packages/coordination/src/commit_change.ts
@@ -16,6 +16,7 @@
   validateState,
 } from '@cassiaknot/inventory';
 import type {KeyValueStore} from '@cassiaknot/store';
+import {getRevisionGeneration, isRevisionVoid} from '@cassiaknot/store';
 import type {Result} from 'ts-results-es';
 import {Err, Ok} from 'ts-results-es';
 import type {Backoff} from './backoff.js';
@@ -120,7 +121,7 @@
       entry => entry.changeId === this.change.changeId,
     );
     if (committed) return done(Ok({version: committed.version}));
-    if (revision !== this.pendingRevision) this.pendingRevision = undefined;
+    if (this.isPendingWriteVoid(revision)) this.pendingRevision = undefined;
     const conflict = await this.findConflict(head);
     if (conflict) return conflict;
     const state = await this.log.readState(head);
@@ -128,6 +129,17 @@
     return this.write(reading.value, state.value);
   }
 
+  // After the store came back from an older copy, the revision can be issued again,
+  // so that a write under way can still take effect.
+  private isPendingWriteVoid(revision: number): boolean {
+    const {pendingRevision} = this;
+    if (pendingRevision === undefined || revision === pendingRevision) {
+      return false;
+    }
+    const generation = getRevisionGeneration(pendingRevision);
+    return !isRevisionVoid(revision, generation) && revision > pendingRevision;
+  }
+
   private async findConflict(
     head: ConfigurationHead,
   ): Promise<AttemptOutcome | undefined> {
--- a/packages/coordination/src/configuration_log.ts
+++ b/packages/coordination/src/configuration_log.ts
@@ -180,6 +180,11 @@
   return Err({kind: 'store', error});
 }
 
+/** Whether a call failed because the store has come back from an older copy. */
+export function isSuperseded(error: LogError): boolean {
+  return error.kind === 'store' && error.error.kind === 'superseded';
+}
+
 /** Describes a log error for a log line or an error message. */
 export function describeLogError(error: LogError): string {
   if (error.kind === 'corrupt-log') return `corrupt log: ${error.message}`;
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -77,6 +77,7 @@
     const {joinTimeoutMs, seedElectionMs} = timing;
     await transport.listen(identity.peerAddress, this.inboundLinkEvents);
     const {links, membership, reader, seeds} = this.context.directory;
+    this.options.store.onRestored(() => seeds.send({kind: 'store-restored'}));
     membership.send({kind: 'flush'});
     this.tickTimer = setInterval(() => {
       links.send({kind: 'tick'});
--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -186,6 +186,7 @@
   | 'digest-mismatch'
   | 'invalid-changes'
   | 'store-read-failed'
+  | 'store-restored'
   | 'watch-silent'
   | 'source-silent'
   | 'seed-unusable'
--- a/packages/proxy/src/claims/claims.ts
+++ b/packages/proxy/src/claims/claims.ts
@@ -140,6 +140,11 @@
     // is recognised as this claim's own.
     if (error.kind === 'ambiguous') this.mayHaveWritten = true;
     if (error.kind === 'rejected') this.lease.invalidate();
+    // What was read of the store is void, and the lease is gone.
+    if (error.kind === 'superseded') {
+      this.expectedRevision = ABSENT_REVISION;
+      this.lease.invalidate();
+    }
     return RETRY;
   }
 
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -174,6 +174,9 @@
     return response.map(() => undefined);
   }
 
+  // This protocol does not show that the store has come back from a copy.
+  onRestored(): void {}
+
   async waitForChange(watch: WatchRequest): StoreResult<KeyValue | undefined> {
     const timeoutSignal = AbortSignal.timeout(watch.timeoutMs);
     const signal = watch.signal
--- a/packages/store/src/in_memory_store.ts
+++ b/packages/store/src/in_memory_store.ts
@@ -1,13 +1,24 @@
 /** In-memory key-value store, for one process or behind a test server. */
 
 import {brandId} from '@cassiaknot/inventory';
-import {Ok} from 'ts-results-es';
+import type {Result} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
+import {
+  SUPERSEDED_ERROR,
+  getLeaseGeneration,
+  getStoreLease,
+  getStoreRevision,
+  isRevisionVoid,
+  qualifyLease,
+  qualifyRevision,
+} from './generations.js';
 import type {
   CasOutcome,
   CasRequest,
   KeyValue,
   KeyValueStore,
   LeaseId,
+  StoreError,
   StoreResult,
   WatchRequest,
 } from './types.js';
@@ -22,7 +33,15 @@
   timer: NodeJS.Timeout;
 }
 
-type KeyListener = (change: KeyValue) => void;
+type KeyListener = (change: KeyValue | StoreError) => void;
+
+/** State of an {@link InMemoryStore} at one time. */
+export interface StoreCopy {
+  readonly entries: ReadonlyMap<string, Entry>;
+  readonly leaseTtlsMs: ReadonlyMap<LeaseId, number>;
+  readonly revision: number;
+  readonly leaseCount: number;
+}
 
 /** Holds all keys in memory; calls never fail. */
 export class InMemoryStore implements KeyValueStore {
@@ -31,6 +50,53 @@
   private readonly listeners = new Map<string, Set<KeyListener>>();
   private revision = 0;
   private leaseCount = 0;
+  private generation = 0;
+  private readonly restoreListeners: Array<() => void> = [];
+
+  /** Copies the state, leases included. */
+  takeCopy(): StoreCopy {
+    const {revision, leaseCount} = this;
+    const leaseTtlsMs = new Map<LeaseId, number>();
+    for (const [id, lease] of this.leases) leaseTtlsMs.set(id, lease.ttlMs);
+    const entries = new Map(this.entries);
+    return {entries, leaseTtlsMs, revision, leaseCount};
+  }
+
+  /**
+   * Comes back from a copy: later writes and leases are gone, and their revisions
+   * and ids are issued again. Leases of the copy begin anew.
+   */
+  restore(copy: StoreCopy): void {
+    for (const lease of this.leases.values()) clearTimeout(lease.timer);
+    this.leases.clear();
+    this.entries.clear();
+    this.generation += 1;
+    this.revision = copy.revision;
+    this.leaseCount = copy.leaseCount;
+    for (const [key, entry] of copy.entries) {
+      const revision = qualifyRevision(
+        this.generation,
+        getStoreRevision(entry.revision),
+      );
+      this.entries.set(key, {...entry, revision});
+    }
+    for (const [id, ttlMs] of copy.leaseTtlsMs) {
+      this.leases.set(id, {ttlMs, timer: this.startLeaseTimer(id, ttlMs)});
+    }
+    for (const listeners of this.listeners.values()) {
+      for (const listener of [...listeners]) listener(SUPERSEDED_ERROR);
+    }
+    for (const listener of this.restoreListeners) listener();
+  }
+
+  /** Number of times that the store has come back from a copy. */
+  getGeneration(): number {
+    return this.generation;
+  }
+
+  onRestored(listener: () => void): void {
+    this.restoreListeners.push(listener);
+  }
 
   get(key: string): StoreResult<KeyValue | undefined> {
     return Promise.resolve(Ok(this.entries.get(key)));
@@ -44,10 +110,14 @@
   }
 
   getStaleRevision(): StoreResult<number> {
-    return Promise.resolve(Ok(this.revision));
+    const revision = qualifyRevision(this.generation, this.revision);
+    return Promise.resolve(Ok(revision));
   }
 
   compareAndSwap(request: CasRequest): StoreResult<CasOutcome> {
+    if (this.isVoid(request.expectedRevision, request.leaseId)) {
+      return Promise.resolve(Err(SUPERSEDED_ERROR));
+    }
     const current = this.entries.get(request.key);
     const revision = current?.revision ?? ABSENT_REVISION;
     if (revision !== request.expectedRevision) {
@@ -63,6 +133,9 @@
   }
 
   put(key: string, value: string, leaseId?: LeaseId): StoreResult<void> {
+    if (this.isVoid(ABSENT_REVISION, leaseId)) {
+      return Promise.resolve(Err(SUPERSEDED_ERROR));
+    }
     this.write(key, value, leaseId);
     return Promise.resolve(Ok(undefined));
   }
@@ -75,9 +148,12 @@
   async waitForChange(
     request: WatchRequest,
   ): StoreResult<KeyValue | undefined> {
+    if (this.isVoid(request.afterRevision, undefined)) {
+      return Err(SUPERSEDED_ERROR);
+    }
     const current = this.entries.get(request.key);
     if (current && current.revision > request.afterRevision) return Ok(current);
-    return Ok(await this.waitForWrite(request));
+    return this.waitForWrite(request);
   }
 
   grantLease(ttlMs: number): StoreResult<LeaseId> {
@@ -85,19 +161,21 @@
     const leaseId = brandId<LeaseId>(String(this.leaseCount));
     const timer = this.startLeaseTimer(leaseId, ttlMs);
     this.leases.set(leaseId, {ttlMs, timer});
-    return Promise.resolve(Ok(leaseId));
+    return Promise.resolve(Ok(qualifyLease(this.generation, leaseId)));
   }
 
   keepLeaseAlive(leaseId: LeaseId): StoreResult<boolean> {
-    const lease = this.leases.get(leaseId);
-    if (!lease) return Promise.resolve(Ok(false));
+    const id = this.findLease(leaseId);
+    const lease = id && this.leases.get(id);
+    if (!id || !lease) return Promise.resolve(Ok(false));
     clearTimeout(lease.timer);
-    lease.timer = this.startLeaseTimer(leaseId, lease.ttlMs);
+    lease.timer = this.startLeaseTimer(id, lease.ttlMs);
     return Promise.resolve(Ok(true));
   }
 
   revokeLease(leaseId: LeaseId): StoreResult<void> {
-    this.removeLease(leaseId);
+    const id = this.findLease(leaseId);
+    if (id) this.removeLease(id);
     return Promise.resolve(Ok(undefined));
   }
 
@@ -110,9 +188,22 @@
     return count;
   }
 
-  private write(key: string, value: string, leaseId?: LeaseId): Entry {
+  private isVoid(revision: number, leaseId: LeaseId | undefined): boolean {
+    if (isRevisionVoid(revision, this.generation)) return true;
+    return leaseId !== undefined && !this.findLease(leaseId);
+  }
+
+  // The id as stored; undefined for a lease of an earlier generation.
+  private findLease(leaseId: LeaseId): LeaseId | undefined {
+    if (getLeaseGeneration(leaseId) !== this.generation) return undefined;
+    return brandId<LeaseId>(getStoreLease(leaseId));
+  }
+
+  private write(key: string, value: string, lease?: LeaseId): Entry {
     this.revision += 1;
-    const entry: Entry = {key, value, revision: this.revision, leaseId};
+    const revision = qualifyRevision(this.generation, this.revision);
+    const leaseId = lease && this.findLease(lease);
+    const entry: Entry = {key, value, revision, leaseId};
     this.entries.set(key, entry);
     for (const listener of [...(this.listeners.get(key) ?? [])]) {
       listener(entry);
@@ -120,14 +211,16 @@
     return entry;
   }
 
-  private waitForWrite(request: WatchRequest): Promise<KeyValue | undefined> {
+  private waitForWrite(
+    request: WatchRequest,
+  ): Promise<Result<KeyValue | undefined, StoreError>> {
     return new Promise(resolve => {
       const listeners = this.getListeners(request.key);
-      const finish = (change: KeyValue | undefined) => {
+      const finish = (change: KeyValue | StoreError | undefined) => {
         clearTimeout(timer);
         listeners.delete(finish);
         request.signal?.removeEventListener('abort', onAbort);
-        resolve(change);
+        resolve(change && 'kind' in change ? Err(change) : Ok(change));
       };
       const onAbort = () => finish(undefined);
       const timer = setTimeout(onAbort, request.timeoutMs);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -3,6 +3,7 @@
 export * from './types.js';
 export * from './call_errors.js';
 export * from './call_limiter.js';
+export * from './generations.js';
 export * from './token_bucket.js';
 export * from './adaptive_rate_limiter.js';
 export * from './limited_store.js';
--- a/packages/store/src/limited_store.ts
+++ b/packages/store/src/limited_store.ts
@@ -100,6 +100,10 @@
     return this.run('revoke-lease', () => this.store.revokeLease(leaseId));
   }
 
+  onRestored(listener: () => void): void {
+    this.store.onRestored(listener);
+  }
+
   private async run<T>(
     operation: StoreOperation,
     call: () => StoreResult<T>,
--- a/packages/store/src/testing/faulty_store.ts
+++ b/packages/store/src/testing/faulty_store.ts
@@ -121,6 +121,10 @@
     return this.run(true, () => this.store.revokeLease(leaseId));
   }
 
+  onRestored(listener: () => void): void {
+    this.store.onRestored(listener);
+  }
+
   private run<T>(
     isWrite: boolean,
     call: () => StoreResult<T>,
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -10,7 +10,10 @@
 export interface KeyValue {
   readonly key: string;
   readonly value: string;
-  /** Store revision of the last write to this key; always above 0. */
+  /**
+   * Store revision of the last write to this key; always above 0. Revisions from
+   * before the store came back from an older copy are below all later ones.
+   */
   readonly revision: number;
 }
 
@@ -29,9 +32,11 @@
  * - `ambiguous`: a write may or may not have taken effect.
  * - `limited`: the client-side call limit refused the call before it was sent.
  * - `rejected`: the store responded that it does not accept the call.
+ * - `superseded`: the call used a revision or a lease from before the store came
+ *   back from an older copy, and had no effect.
  */
 export type StoreErrorKind =
-  'unavailable' | 'ambiguous' | 'limited' | 'rejected';
+  'unavailable' | 'ambiguous' | 'limited' | 'rejected' | 'superseded';
 
 /** Error of a failed call to the store. */
 export interface StoreError {
@@ -118,4 +123,9 @@
   keepLeaseAlive(leaseId: LeaseId): StoreResult<boolean>;
   /** Revokes a lease and deletes its keys. */
   revokeLease(leaseId: LeaseId): StoreResult<void>;
+  /**
+   * Calls the listener whenever this client notices that the store has come back
+   * from an older copy: later writes, leases included, may be gone.
+   */
+  onRestored(listener: () => void): void;
 }
--- a/packages/test-support/src/fake_store_server.ts
+++ b/packages/test-support/src/fake_store_server.ts
@@ -7,9 +7,17 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {brandId} from '@cassiaknot/inventory';
-import type {KeyValue, LeaseId} from '@cassiaknot/store';
-import {InMemoryStore, decodeBase64, encodeBase64} from '@cassiaknot/store';
+import type {KeyValue} from '@cassiaknot/store';
+import {
+  ABSENT_REVISION,
+  InMemoryStore,
+  decodeBase64,
+  encodeBase64,
+  getStoreLease,
+  getStoreRevision,
+  qualifyLease,
+  qualifyRevision,
+} from '@cassiaknot/store';
 import {z} from 'zod';
 import {sleep} from './sleep.js';
 
@@ -159,7 +167,7 @@
   private async range(request: z.infer<typeof RANGE_SCHEMA>): Promise<unknown> {
     const key = decodeBase64(request.key);
     const revision = (await this.memory.getStaleRevision()).unwrap();
-    const header = {revision: String(revision)};
+    const header = {revision: String(getStoreRevision(revision))};
     if (request.range_end === undefined) {
       const found = (await this.memory.get(key)).unwrap();
       return {header, kvs: found ? [encodeKeyValue(found)] : []};
@@ -170,7 +178,7 @@
   }
 
   private async put(request: z.infer<typeof PUT_SCHEMA>): Promise<unknown> {
-    const {key, value, leaseId} = decodePut(request);
+    const {key, value, leaseId} = this.decodePut(request);
     await this.memory.put(key, value, leaseId);
     return {};
   }
@@ -180,12 +188,13 @@
     const [success] = request.success;
     if (!compare || !success) return undefined;
     const swapped = await this.memory.compareAndSwap({
-      ...decodePut(success.request_put),
-      expectedRevision: compare.mod_revision,
+      ...this.decodePut(success.request_put),
+      expectedRevision: this.qualify(compare.mod_revision),
     });
     const outcome = swapped.unwrap();
     if (outcome.kind === 'committed') {
-      return {succeeded: true, header: {revision: String(outcome.revision)}};
+      const revision = String(getStoreRevision(outcome.revision));
+      return {succeeded: true, header: {revision}};
     }
     const kvs = outcome.current ? [encodeKeyValue(outcome.current)] : [];
     return {
@@ -202,19 +211,40 @@
 
   private async grant(ttlSeconds: number): Promise<unknown> {
     const lease = await this.memory.grantLease(ttlSeconds * MS_PER_SECOND);
-    return {ID: lease.unwrap()};
+    return {ID: getStoreLease(lease.unwrap())};
   }
 
   private async keepAlive(id: string): Promise<unknown> {
-    const isAlive = await this.memory.keepLeaseAlive(brandId<LeaseId>(id));
+    const leaseId = qualifyLease(this.memory.getGeneration(), id);
+    const isAlive = await this.memory.keepLeaseAlive(leaseId);
     return {result: {TTL: isAlive.unwrap() ? '1' : '0'}};
   }
 
   private async revoke(id: string): Promise<unknown> {
-    await this.memory.revokeLease(brandId<LeaseId>(id));
+    const leaseId = qualifyLease(this.memory.getGeneration(), id);
+    await this.memory.revokeLease(leaseId);
     return {};
   }
 
+  // The store knows no generations: a revision or lease id that was issued again
+  // is taken for the new one.
+  private qualify(revision: number): number {
+    if (revision === ABSENT_REVISION) return ABSENT_REVISION;
+    return qualifyRevision(this.memory.getGeneration(), revision);
+  }
+
+  private decodePut(put: z.infer<typeof PUT_SCHEMA>) {
+    const {lease} = put;
+    const generation = this.memory.getGeneration();
+    return {
+      key: decodeBase64(put.key),
+      value: decodeBase64(put.value),
+      ...(lease === undefined
+        ? {}
+        : {leaseId: qualifyLease(generation, lease)}),
+    };
+  }
+
   /** Sends the next change of the key, then ends the response. */
   private async watch(body: unknown, response: ServerResponse): Promise<void> {
     const {create_request: create} = WATCH_SCHEMA.parse(body);
@@ -224,11 +254,16 @@
     response.write('{"result":{"created":true}}\n');
     const change = await this.memory.waitForChange({
       key: decodeBase64(create.key),
-      afterRevision: create.start_revision - 1,
+      afterRevision: this.qualify(create.start_revision - 1),
       timeoutMs: WATCH_TIMEOUT_MS,
       signal: controller.signal,
     });
-    const found = change.unwrap();
+    // The store has come back from a copy: the watch ends without an event.
+    if (change.isErr()) {
+      response.destroy();
+      return;
+    }
+    const found = change.value;
     if (!found || response.destroyed) return;
     const events = [{type: 'PUT', kv: encodeKeyValue(found)}];
     const line = `${JSON.stringify({result: {events}})}\n`;
@@ -241,15 +276,7 @@
   return {
     key: encodeBase64(entry.key),
     value: encodeBase64(entry.value),
-    mod_revision: String(entry.revision),
-  };
-}
-
-function decodePut(put: z.infer<typeof PUT_SCHEMA>) {
-  return {
-    key: decodeBase64(put.key),
-    value: decodeBase64(put.value),
-    ...(put.lease === undefined ? {} : {leaseId: brandId<LeaseId>(put.lease)}),
+    mod_revision: String(getStoreRevision(entry.revision)),
   };
 }
 
