--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -13,6 +13,7 @@
   getRunningCount(): number;
   getOverShareCount(): number;
   getDroppedLogLineCount(): number;
+  getLentWorkspaceCount(): number;
 }
 
 /** Upper bounds of the latency buckets, in milliseconds. */
@@ -80,6 +81,11 @@
         'Log lines left out because the output was not read',
         () => gauges.getDroppedLogLineCount(),
       ],
+      [
+        'cassiaknot_lent_workspaces',
+        'Workspaces of which this instance lends permits',
+        () => gauges.getLentWorkspaceCount(),
+      ],
     ];
     for (const [name, help, readValue] of gaugeDefinitions) {
       registerGauge(this.registry, name, help, readValue);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,3 +8,4 @@
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
 export * from './weighted_round_robin.js';
+export * from './quota/index.js';
