--- a/packages/test-support/src/load_model/fair_shares.test.ts
+++ b/packages/test-support/src/load_model/fair_shares.test.ts
@@ -142,7 +142,7 @@
     expect(getServedShare(others)).to.be.above(0.96);
     expect(others.inTime / others.offered).to.be.above(0.93);
     expect(getServedShare(hot)).to.be.above(0.25 * getServedShare(all));
-    // 12 refusals for each request that was not served before.
+    // 12 refusals for each request that was not served with the shares turned off.
     expect(all.refused).to.be.above(100);
     expect(all.refusedAttempts / all.refused).to.be.below(2);
   });
