--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -43,6 +43,7 @@
 import {MESH_OVERLAY, MESH_TIMING, STORE_CALL_LIMIT} from './mesh_options.js';
 import type {ShutdownHooks} from './graceful_shutdown.js';
 import {shutDownGracefully} from './graceful_shutdown.js';
+import {newTargetGauges} from './target_gauges.js';
 
 const COMPONENT = 'daemon';
 const MAX_SEED = 2 ** 31;
@@ -425,10 +426,7 @@
     this.meter.registerGauges({
       getVersion: () => this.appliedVersion,
       getOpenGateCount: () => this.gateDirectory.countOpenLinks(),
-      getWaitingCount: () =>
-        this.localTarget.getSession()?.getLoad().waiting ?? 0,
-      getRunningCount: () =>
-        this.localTarget.getSession()?.getLoad().running ?? 0,
+      ...newTargetGauges(this.localTarget),
       getDroppedLogLineCount: this.options.getDroppedLogLineCount,
       getLentWorkspaceCount: () => this.quotas?.getLentCount() ?? 0,
     });
