Bound the bytes that a process holds for its connections

A process kept every body that callers sent, every answer that they did not read and every request that they pipelined, and ran out of memory.

One bound, derived from Self.Limits.MemoryMb, now covers request bodies, offers, target responses and answers; each is reserved before it is read or kept and given back afterwards. Long uploads wait unread until they fit; uploads and answers without progress yield first. A request that does not fit is refused with 503 and Connection: close before it is passed on. Connections are bounded by Self.Limits.MaxFds and idle ones give way; so are the requests without an answer on a connection, also at the readiness, announcement and metrics servers. What arrives is parsed in small parts, as one read could create 1,700 requests. Bodies of known length are collected without a second copy.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -1,5 +1,6 @@
 /** Lifecycle and wiring of a daemon with multiplexed request links. */
 
+import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import {Coordinator, SeededRandom} from '@cassiaknot/coordination';
 import type {
@@ -30,6 +31,10 @@
   SWEEP_INTERVAL_MS,
   LocalTarget,
   openLocalLink,
+  ConnectionGuard,
+  DEFAULT_MEMORY_MB,
+  PROCESS_MEMORY,
+  toHeldBytes,
 } from '@cassiaknot/relay';
 import {SlidingRetryBudget} from '@cassiaknot/routing';
 import {LimitedStore, TokenBucket} from '@cassiaknot/store';
@@ -37,6 +42,11 @@
 import {ControlMeter} from '../control_meter.js';
 import {countLiveMembers} from '../status.js';
 import {MeshMeter} from './mesh_meter.js';
+import {
+  METRICS_CONNECTION_LIMITS,
+  SIDE_CONNECTION_LIMITS,
+  getCallerConnectionLimits,
+} from './connection_limits.js';
 import type {MeshDaemonOptions} from './mesh_options.js';
 import {MESH_OVERLAY, MESH_TIMING, STORE_CALL_LIMIT} from './mesh_options.js';
 import type {ShutdownHooks} from './graceful_shutdown.js';
@@ -85,6 +95,8 @@
       count: (event, reason) => this.meter.count(event, reason),
       measure: (stage, latencyMs) => this.meter.measure(stage, latencyMs),
     };
+    const {memoryMb = DEFAULT_MEMORY_MB} = options;
+    PROCESS_MEMORY.configure(toHeldBytes(memoryMb), this.observer);
     this.coordinator = this.newCoordinator();
     this.localTarget = new LocalTarget({
       getAddress: options.getTargetAddress,
@@ -103,9 +115,20 @@
         response.end(text);
       });
     });
+    new ConnectionGuard(this.metricsServer, {
+      name: 'metrics',
+      limits: METRICS_CONNECTION_LIMITS,
+      observer: this.observer,
+    });
     this.registerGauges();
   }
 
+  /** Bounds the connections of a server beside the one for callers. */
+  guardConnections(server: Server, name: string): void {
+    const limits = SIDE_CONNECTION_LIMITS;
+    new ConnectionGuard(server, {name, limits, observer: this.observer});
+  }
+
   /** Binds all ports and joins the mesh. */
   async start(): Promise<void> {
     const {callerAddress, identity, metricsAddress, log} = this.options;
@@ -229,6 +252,7 @@
   // Periodic task: applies changes of the membership and the configuration.
   private sweep(): void {
     this.measureLoopDelay();
+    PROCESS_MEMORY.setLinkBytes(this.relayTransport.getBufferedBytes());
     const membership = this.coordinator.getMembership();
     if (membership !== this.appliedMembership) {
       this.appliedMembership = membership;
@@ -371,6 +395,7 @@
       observer: this.observer,
       getLimits: () => this.getCallerLimits(),
       getLoopDelayMs: () => this.loopDelay.getDelayMs(),
+      connectionLimits: getCallerConnectionLimits(this.options.maxFds),
     });
   }
 
--- a/packages/daemon/src/mesh/mesh_options.ts
+++ b/packages/daemon/src/mesh/mesh_options.ts
@@ -30,6 +30,10 @@
   /** Reads and writes the HTTP headers of the platform. */
   readonly headerCodec: HeaderCodec;
   readonly retryBudget: SlidingRetryBudgetOptions;
+  /** Memory of the instance; {@link DEFAULT_MEMORY_MB} if the settings state none. */
+  readonly memoryMb?: number;
+  /** Descriptors that the process may open, if the settings state it. */
+  readonly maxFds?: number;
   /** Time from the stop signal until the platform kills the process. */
   readonly shutdownGracePeriodMs: number;
   /** Address of the local target; it may change at run time. */
--- a/packages/relay/src/body_buffer.ts
+++ b/packages/relay/src/body_buffer.ts
@@ -17,13 +17,32 @@
   private openBlockBytes = 0;
   private size = 0;
 
+  /**
+   * With the expected size, all parts are copied into one block of that size, and
+   * {@link take} copies nothing. The operating system provides its pages as they are
+   * written, so that a block larger than the body occupies no more than the body.
+   */
+  constructor(private expectedBytes = 0) {}
+
+  /** Sets the size to expect for the parts from now on. */
+  expect(expectedBytes: number): void {
+    if (this.expectedBytes === expectedBytes) return;
+    this.closeBlock();
+    const {blocks, size} = this;
+    this.clear();
+    this.expectedBytes = expectedBytes;
+    for (const block of blocks) this.copy(block);
+    this.size = size;
+  }
+
   getSize(): number {
     return this.size;
   }
 
   append(part: Uint8Array): void {
     if (part.byteLength === 0) return;
-    if (part.byteLength >= MIN_KEPT_BYTES && isMostOfItsBuffer(part)) {
+    const isKept = this.expectedBytes === 0 && isMostOfItsBuffer(part);
+    if (part.byteLength >= MIN_KEPT_BYTES && isKept) {
       this.closeBlock();
       this.blocks.push(part);
     } else {
@@ -63,7 +82,8 @@
   private newBlock(partBytes: number): Buffer {
     const grownBytes = Math.min(this.size, MAX_BLOCK_BYTES);
     const minBytes = this.size === 0 ? 0 : MIN_BLOCK_BYTES;
-    const blockBytes = Math.max(partBytes, grownBytes, minBytes);
+    const expectedLeft = this.expectedBytes - this.size;
+    const blockBytes = Math.max(partBytes, grownBytes, minBytes, expectedLeft);
     this.openBlock = Buffer.allocUnsafeSlow(blockBytes);
     this.openBlockBytes = 0;
     return this.openBlock;
--- a/packages/relay/src/caller_connection.ts
+++ b/packages/relay/src/caller_connection.ts
@@ -2,6 +2,10 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {BodyReader} from './request_body.js';
+
+/** Holds a few requests of usual size. */
+const PART_BYTES = 2_048;
 
 /** A request without its complete response, for the log. */
 export interface UnansweredRequest {
@@ -47,6 +51,7 @@
   private writtenBytes = 0;
   private firstResponse: ServerResponse | undefined;
   private lastResponse: ServerResponse | undefined;
+  private bodyReader: BodyReader | undefined;
   private isClosing = false;
   /** Called once all complete requests have their responses. */
   private handleAnswered: (() => void) | undefined;
@@ -69,6 +74,22 @@
     );
   }
 
+  /** Whether bytes that arrive may still belong to a request that is served. */
+  isReading(): boolean {
+    return !this.isClosing && !this.handleAnswered;
+  }
+
+  /** Sets the reader of the latest body. */
+  setBodyReader(reader: BodyReader): void {
+    this.bodyReader = reader;
+  }
+
+  /** Size of the next part for the parser, which may hold several requests. */
+  getPartBytes(): number {
+    const bytesLeft = this.bodyReader?.getBytesLeft() ?? 0;
+    return Math.max(PART_BYTES, bytesLeft);
+  }
+
   /** Admits the next request; `false` if the connection closes before it. */
   admit(
     request: IncomingMessage,
--- a/packages/relay/src/caller_messages.ts
+++ b/packages/relay/src/caller_messages.ts
@@ -1,8 +1,9 @@
 /** Reads the headers and bodies of callers' requests. */
 
 import type {IncomingMessage} from 'node:http';
-import {BodyBuffer} from './body_buffer.js';
 import {HOP_BY_HOP_HEADERS} from './header_codec.js';
+import type {HeldMemory, Holding} from './held_memory.js';
+import {BodyReader} from './request_body.js';
 
 const EMPTY_BODY = Buffer.alloc(0);
 
@@ -21,10 +22,17 @@
 
 /** Result of reading a request. */
 export type ReadResult =
-  | {readonly kind: 'whole'; readonly body: Uint8Array}
+  /** `holding` is to be released once the body is no longer needed. */
+  | {
+      readonly kind: 'whole';
+      readonly body: Uint8Array;
+      readonly holding?: Holding;
+    }
   /** It exceeds a limit, which the status names. */
   | {readonly kind: 'too-large'; readonly statusCode: number}
-  | {readonly kind: 'incomplete'};
+  | {readonly kind: 'incomplete'}
+  /** It does not fit into the memory that is left. */
+  | {readonly kind: 'no-memory'};
 
 /** Sizes up to which requests are read. */
 export interface RequestLimits {
@@ -38,6 +46,14 @@
   return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
+/** Formats the response to a request that is not read because of a limit. */
+export function formatRefusal(retryAfterS: number): string {
+  return (
+    'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n' +
+    `Retry-After: ${retryAfterS.toFixed(3)}\r\nContent-Length: 0\r\n\r\n`
+  );
+}
+
 /** Returns the headers to forward, as alternating names and values. */
 export function filterHeaders(
   request: IncomingMessage,
@@ -67,6 +83,8 @@
 export async function readRequest(
   request: IncomingMessage,
   limits: RequestLimits,
+  memory: HeldMemory,
+  onBody: (reader: BodyReader) => void,
 ): Promise<ReadResult> {
   if (countHeaderBytes(request) > limits.maxHeaderBytes) {
     return {kind: 'too-large', statusCode: HEADERS_TOO_LARGE_STATUS};
@@ -74,20 +92,19 @@
   const {headers} = request;
   const length = Number(headers['content-length'] ?? 0);
   if (length > limits.maxBodyBytes) return BODY_TOO_LARGE;
-  const hasBody = length > 0 || headers['transfer-encoding'] !== undefined;
-  if (!hasBody) return {kind: 'whole', body: EMPTY_BODY};
-  const body = new BodyBuffer();
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      body.append(chunk);
-      if (body.getSize() > limits.maxBodyBytes) return BODY_TOO_LARGE;
-    }
-  } catch {
-    // The caller disconnected mid-body; nothing has been forwarded yet.
-    return {kind: 'incomplete'};
-  }
-  if (!request.complete) return {kind: 'incomplete'};
-  return {kind: 'whole', body: body.take()};
+  const isChunked = headers['transfer-encoding'] !== undefined;
+  if (length === 0 && !isChunked) return {kind: 'whole', body: EMPTY_BODY};
+  const reader = new BodyReader(
+    request,
+    memory,
+    isChunked ? undefined : length,
+    limits.maxBodyBytes,
+  );
+  onBody(reader);
+  const result = await reader.read();
+  if (result.kind === 'too-large') return BODY_TOO_LARGE;
+  if (result.kind === 'whole') memory.setBody(result.holding, result.body);
+  return result;
 }
 
 function countHeaderBytes(request: IncomingMessage): number {
--- a/packages/relay/src/caller_pipeline.test.ts
+++ b/packages/relay/src/caller_pipeline.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {expect} from 'chai';
-import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
+import {DEFAULT_CALLER_LIMITS} from './caller_limits.js';
 import type {RelayOutcome} from './outcome.js';
 import {
   HOST,
--- a/packages/relay/src/caller_server.test.ts
+++ b/packages/relay/src/caller_server.test.ts
@@ -1,8 +1,8 @@
 import {once} from 'node:events';
 import {Socket, connect} from 'node:net';
 import {expect} from 'chai';
-import type {CallerLimits} from './caller_server.js';
-import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
+import type {CallerLimits} from './caller_limits.js';
+import {DEFAULT_CALLER_LIMITS} from './caller_limits.js';
 import type {CallerRequest} from './entry_types.js';
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
 import {
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -5,8 +5,7 @@
 import {createServer} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {setImmediate} from 'node:timers/promises';
-import type {CallerLimitsRecord} from '@cassiaknot/inventory';
+import type {ReadResult} from './caller_messages.js';
 import type {UnansweredRequest} from './caller_connection.js';
 import {CallerConnection} from './caller_connection.js';
 import {
@@ -14,23 +13,26 @@
   formatRejection,
   readRequest,
 } from './caller_messages.js';
+import type {ConnectionLimits} from './connection_guard.js';
+import type {CallerLimits} from './caller_limits.js';
+import {DEFAULT_CONNECTION_LIMITS, REQUEST_BYTES} from './caller_limits.js';
+import {ConnectionGuard} from './connection_guard.js';
 import type {HeaderCodec} from './header_codec.js';
+import {PROCESS_MEMORY} from './held_memory.js';
 import type {RelayEntry} from './entry.js';
 import type {CallerRequest} from './entry_types.js';
 import type {RelayObserver} from './observer.js';
-import type {AnsweredOutcome, RelayOutcome} from './outcome.js';
-import {describeOutcome} from './outcome.js';
-
-/** Limits on requests and connections of callers. */
-export type CallerLimits = Omit<CallerLimitsRecord, 'kind' | 'id'>;
-
-/** Limits that apply until a configuration sets others. */
-export const DEFAULT_CALLER_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 16 * 1024 * 1024,
-  headerTimeoutMs: 5_000,
-  idleTimeoutMs: 15_000,
-};
+import type {RelayOutcome} from './outcome.js';
+import {describeOutcome, newRefusal} from './outcome.js';
+import type {CallerExchange} from './caller_responses.js';
+import {
+  MEMORY_REFUSAL,
+  MEMORY_RETRY_AFTER_MS,
+  closeAfterPeer,
+  pollSockets,
+  writeAnswer,
+  writeFailure,
+} from './caller_responses.js';
 
 /** Dependencies of a {@link CallerServer}. */
 export interface CallerServerOptions {
@@ -40,6 +42,7 @@
   readonly getLimits: () => CallerLimits;
   /** Time by which the event loop is late. */
   readonly getLoopDelayMs: () => number;
+  readonly connectionLimits?: ConnectionLimits;
 }
 
 const COMPONENT = 'entry';
@@ -47,22 +50,9 @@
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Delay of the event loop from which on callers may have left unnoticed. */
 const LATE_LOOP_MS = 100;
-/** Time for which a closed connection is still read. */
-const LINGER_TIMEOUT_MS = 1_000;
 /** Duration of a poll from which on more may have arrived meanwhile. */
 const LATE_POLL_MS = 20;
 const CONNECT_UNSUPPORTED = new Error('CONNECT is not supported');
-const MS_PER_SECOND = 1_000;
-
-/** A request that is being served. */
-interface CallerExchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly connection: CallerConnection;
-  readonly receivedAtMs: number;
-  /** Aborted when the caller disconnects. */
-  readonly signal: AbortSignal;
-}
 
 /** Accepts requests from callers and passes them to the entry. */
 export class CallerServer {
@@ -74,6 +64,7 @@
   /** Time by which responses must be sent; finite while this process stops. */
   private serveUntilMs = Infinity;
   private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly connectionLimits: ConnectionLimits;
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = createServer(
@@ -86,6 +77,17 @@
       this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
+    this.connectionLimits =
+      options.connectionLimits ?? DEFAULT_CONNECTION_LIMITS;
+    new ConnectionGuard(this.server, {
+      name: COMPONENT,
+      // A request over the limit is refused behind the answers to those before it.
+      limits: {...this.connectionLimits, maxPipelined: Infinity},
+      observer: options.observer,
+      isIdle: socket => this.connections.get(socket)?.isIdle() ?? true,
+      mayRead: socket => this.connections.get(socket)?.isReading() ?? false,
+      getPartBytes: socket => this.connections.get(socket)?.getPartBytes() ?? 1,
+    });
     this.server.on('clientError', (error, socket) =>
       this.handleInvalidRequest(error, socket),
     );
@@ -233,6 +235,10 @@
     const {requestId} = this.options.headerCodec.parseCallerHeaders(
       request.headers,
     );
+    if (connection && !this.holdRequest(connection, response)) {
+      request.resume();
+      return;
+    }
     if (connection?.admit(request, response, requestId) !== true) {
       this.options.observer.count('refused', 'closed');
       request.resume();
@@ -256,9 +262,49 @@
     socket.off('end', handleClose);
   }
 
+  /**
+   * Holds the memory of a request until its answer is written. One that doesn't fit is
+   * refused behind the answers to those before it, and its connection is closed.
+   */
+  private holdRequest(
+    connection: CallerConnection,
+    response: ServerResponse,
+  ): boolean {
+    const isOver =
+      connection.countInFlight() >= this.connectionLimits.maxPipelined;
+    const holding = PROCESS_MEMORY.open('request', () => undefined);
+    if (!isOver && holding.tryGrow(REQUEST_BYTES)) {
+      response.once('close', () => holding.release());
+      return true;
+    }
+    holding.release();
+    this.options.observer.count('refused', isOver ? 'pipelined' : 'no-memory');
+    const {socket} = connection;
+    connection.stopReading(() => {
+      if (!socket.writable) return;
+      socket.write(MEMORY_REFUSAL);
+      socket.destroySoon();
+    });
+    return false;
+  }
+
   private async respond(exchange: CallerExchange): Promise<void> {
+    const {request, connection} = exchange;
+    const result = await readRequest(
+      request,
+      this.options.getLimits(),
+      PROCESS_MEMORY,
+      reader => connection.setBodyReader(reader),
+    );
+    await this.respondTo(exchange, result);
+    if (result.kind === 'whole') result.holding?.release();
+  }
+
+  private async respondTo(
+    exchange: CallerExchange,
+    result: ReadResult,
+  ): Promise<void> {
     const {request, response, connection, receivedAtMs, signal} = exchange;
-    const result = await readRequest(request, this.options.getLimits());
     const caller =
       result.kind === 'whole'
         ? this.toCallerRequest(request, result.body, receivedAtMs, signal)
@@ -275,6 +321,10 @@
       this.reject(exchange, result.statusCode);
       return;
     }
+    if (result.kind === 'no-memory') {
+      this.refuseForMemory(exchange);
+      return;
+    }
     if (!caller || (await this.hasCallerLeft(exchange, caller))) {
       response.destroy();
       return;
@@ -344,47 +394,10 @@
       for (const cut of connection.describeInFlight(response)) this.logCut(cut);
     }
     if (outcome.kind === 'answered') {
-      this.writeResponse(response, caller, outcome, closes);
+      writeAnswer(exchange, caller.method, outcome, closes);
       return;
     }
-    if (closes) response.setHeader('Connection', 'close');
-    switch (outcome.kind) {
-      case 'refused': {
-        const isUnknownRoute = outcome.reason === 'no-route';
-        response.statusCode = isUnknownRoute ? 404 : 503;
-        if (!isUnknownRoute) {
-          const seconds = outcome.retryAfterMs / MS_PER_SECOND;
-          response.setHeader('Retry-After', seconds.toFixed(3));
-        }
-        response.end();
-        return;
-      }
-      case 'lost':
-        response.statusCode = outcome.reason === 'timeout' ? 504 : 502;
-        response.end();
-        return;
-    }
-  }
-
-  // A response without a length is passed on without one: the target may have
-  // cut it off, and a length would mark it as complete.
-  private writeResponse(
-    response: ServerResponse,
-    caller: Pick<CallerRequest, 'method'>,
-    outcome: AnsweredOutcome,
-    closes: boolean,
-  ): void {
-    const {statusCode, body} = outcome;
-    const headers = [...outcome.headers];
-    if (!outcome.isFramed) {
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-    } else if (caller.method !== 'HEAD') {
-      headers.push('Content-Length', String(body.byteLength));
-    }
-    if (closes) headers.push('Connection', 'close');
-    response.writeHead(statusCode, headers);
-    response.end(body);
+    writeFailure(response, outcome, closes);
   }
 
   private reject(exchange: CallerExchange, statusCode: number): void {
@@ -401,6 +414,24 @@
     response.end();
   }
 
+  // Nothing has been passed on, and the rest of the body is not read.
+  private refuseForMemory({
+    request,
+    response,
+    connection,
+  }: CallerExchange): void {
+    const {observer, headerCodec} = this.options;
+    const {requestId} = headerCodec.parseCallerHeaders(request.headers);
+    const outcome = newRefusal('no-memory', MEMORY_RETRY_AFTER_MS);
+    observer.count('refused', 'no-memory');
+    observer.log('warn', COMPONENT, 'refused', {
+      requestId,
+      ...describeOutcome(outcome),
+    });
+    connection.announceClose();
+    writeFailure(response, outcome, true);
+  }
+
   private recordMetrics(
     caller: Pick<CallerRequest, 'receivedAtMs'>,
     outcome: RelayOutcome,
@@ -410,23 +441,3 @@
     observer.measure('request', performance.now() - caller.receivedAtMs);
   }
 }
-
-/**
- * Keeps reading after the last response until the peer has closed its side. A
- * connection that is closed while bytes arrive is reset, and what the peer has not
- * received yet is lost.
- */
-function closeAfterPeer(socket: Socket): void {
-  socket.destroySoon = () => {
-    if (socket.writable) socket.end();
-    const timer = setTimeout(() => socket.destroy(), LINGER_TIMEOUT_MS);
-    socket.once('close', () => clearTimeout(timer));
-  };
-}
-
-// The first callback runs after the current poll for I/O, the second after a
-// complete one.
-async function pollSockets(): Promise<void> {
-  await setImmediate();
-  await setImmediate();
-}
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,7 +5,6 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
-import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   CallId,
   Fingerprint,
@@ -23,6 +22,7 @@
 import type {LoggedRefusal} from './gate_log.js';
 import {GateLog} from './gate_log.js';
 import type {HeaderCodec} from './header_codec.js';
+import {PROCESS_MEMORY} from './held_memory.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
 import {flattenHeaders, isFramed} from './response_headers.js';
@@ -30,6 +30,7 @@
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
 import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
+import {checkAdmission} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
@@ -136,7 +137,7 @@
   ): void {
     const session = this.options.localTarget.getSession();
     const received = {link, offer, session, transitMs};
-    const reason = this.checkAdmission(session, offer.serviceId);
+    const reason = checkAdmission(session, offer.serviceId, this.isStopping);
     if (!session || reason) {
       this.refuseOffer(received, reason ?? 'no-target');
       return;
@@ -173,26 +174,6 @@
     this.settleRefusal(call, 'stopping', false);
   }
 
-  private checkAdmission(
-    session: RelayTargetSession | undefined,
-    serviceId: ServiceId,
-  ): RefusalReason | undefined {
-    if (!session) return 'no-target';
-    if (session.getAnnouncement().serviceId !== serviceId) {
-      return 'wrong-service';
-    }
-    if (this.isStopping) return 'stopping';
-    switch (session.getState()) {
-      case 'open':
-        return undefined;
-      case 'down':
-        return 'target-down';
-      case 'draining':
-      case 'ended':
-        return 'draining';
-    }
-  }
-
   private schedule(
     link: RelayLink,
     offer: RelayFrameOf<'offer'>,
@@ -200,6 +181,13 @@
     fingerprint: Fingerprint,
     transitMs: number,
   ): void {
+    const {body} = offer;
+    const bodyHolding =
+      body.byteLength > 0 ? PROCESS_MEMORY.retain(body, 'offer') : undefined;
+    if (body.byteLength > 0 && !bodyHolding) {
+      this.refuseOffer({link, offer, session, transitMs}, 'no-memory');
+      return;
+    }
     const nowMs = performance.now();
     const sentAtMs = nowMs - transitMs;
     const {ruleId, objectiveMs, remainingMs} = offer;
@@ -221,6 +209,7 @@
       transitMs,
       controller: new AbortController(),
       job,
+      bodyHolding,
       isRunning: false,
       isSettled: false,
     };
@@ -254,6 +243,7 @@
         this.options.headerCodec.classifyResponse(offer.requestId, head),
     });
     clearTimeout(timer);
+    call.bodyHolding?.release();
     const hasResponse = exchange.kind === 'response';
     session.endRun(job, offer.ruleId, hasResponse);
     const runMs = performance.now() - startedAtMs;
@@ -443,6 +433,7 @@
     call.isSettled = true;
     this.connections.get(call.link)?.calls.delete(call.offer.callId);
     this.callCount -= 1;
+    if (!call.isRunning) call.bodyHolding?.release();
     return true;
   }
 }
--- a/packages/relay/src/late_reading.test.ts
+++ b/packages/relay/src/late_reading.test.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
 import {expect} from 'chai';
-import {DEFAULT_CALLER_LIMITS} from './caller_server.js';
+import {DEFAULT_CALLER_LIMITS} from './caller_limits.js';
 import {HOST, answer, listen} from './testing/caller_server_fixture.js';
 
 /** Part of the grace period of a stop that is reserved for the last writes. */
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -36,7 +36,13 @@
   | 'withdrawn'
   | 'target-refusal'
   | 'target-report'
-  | 'announcement';
+  | 'announcement'
+  /** Memory that was refused, or given up for others. */
+  | 'memory'
+  /** A reservation of memory that had to wait. */
+  | 'memory-wait'
+  /** A connection that was closed because of a limit. */
+  | 'connection-closed';
 
 /** Stages whose latency is measured. */
 export type MeasuredStage =
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -19,6 +19,8 @@
   | 'quarantined'
   | 'link-unverified'
   | 'stopping'
+  /** The request does not fit into the memory that is left. */
+  | 'no-memory'
   | 'cancelled';
 
 /** Why it is unknown whether a request ran. */
@@ -72,6 +74,7 @@
   'target-refused',
   'quarantined',
   'stopping',
+  'no-memory',
 ];
 
 /**
@@ -86,7 +89,7 @@
 export function newRefusal(
   reason: RefusalReason,
   retryAfterMs: number,
-): RelayOutcome {
+): RefusedOutcome {
   return {kind: 'refused', reason, retryAfterMs};
 }
 
--- a/packages/relay/src/response_memory.ts
+++ b/packages/relay/src/response_memory.ts
@@ -1,10 +1,13 @@
 /**
  * Bounds the memory for responses that are being read, over all connections to
- * targets. A target in trouble may send without end, and several requests to it
+ * targets, as a part of the memory that the process holds (held_memory.ts). A target in trouble may send without end, and several requests to it
  * would otherwise fill the memory long before each reaches a limit of its own.
  */
 
+import {countReadBytes} from './buffer_collection.js';
 import {BodyBuffer} from './body_buffer.js';
+import type {HeldMemory, Holding} from './held_memory.js';
+import {PROCESS_MEMORY} from './held_memory.js';
 
 /** Limits of a {@link ResponseMemory}. */
 export interface ResponseMemoryLimits {
@@ -18,11 +21,23 @@
   private readonly buffers = new Set<ResponseBuffer>();
   private totalBytes = 0;
 
-  constructor(private readonly limits: ResponseMemoryLimits) {}
+  constructor(
+    private readonly limits: ResponseMemoryLimits,
+    private readonly heldMemory: HeldMemory = PROCESS_MEMORY,
+  ) {}
 
-  /** Opens a buffer; `onEvict` must end the response. */
-  open(onEvict: () => void): ResponseBuffer {
-    const buffer = new ResponseBuffer(this, onEvict);
+  /**
+   * Opens a buffer; `onEvict` must end the response. A response of the announced size
+   * is collected without a copy.
+   */
+  open(onEvict: () => void, announcedBytes = 0): ResponseBuffer {
+    const holding = this.heldMemory.open('response', () => undefined);
+    const buffer = new ResponseBuffer(
+      this,
+      holding,
+      onEvict,
+      Math.min(announcedBytes, this.limits.maxResponseBytes),
+    );
     this.buffers.add(buffer);
     return buffer;
   }
@@ -30,6 +45,9 @@
   /** Called by a buffer that has grown. Evicts buffers above the limits. */
   handleGrowth(buffer: ResponseBuffer, addedBytes: number): void {
     this.totalBytes += addedBytes;
+    while (!buffer.isEvicted() && !buffer.holding.tryGrow(addedBytes)) {
+      this.findLargest()?.evict();
+    }
     if (buffer.getSize() > this.limits.maxResponseBytes) buffer.evict();
     while (this.totalBytes > this.limits.maxTotalBytes) {
       this.findLargest()?.evict();
@@ -39,6 +57,7 @@
   /** Called by a buffer that is no longer needed. */
   handleRelease(buffer: ResponseBuffer): void {
     if (this.buffers.delete(buffer)) this.totalBytes -= buffer.getSize();
+    buffer.holding.release();
   }
 
   /** Returns the bytes held. */
@@ -59,13 +78,17 @@
 
 /** The bytes of one response read so far. */
 export class ResponseBuffer {
-  private readonly body = new BodyBuffer();
+  private readonly body: BodyBuffer;
   private hasExceededLimit = false;
 
   constructor(
     private readonly memory: ResponseMemory,
+    readonly holding: Holding,
     private readonly onEvict: () => void,
-  ) {}
+    announcedBytes: number,
+  ) {
+    this.body = new BodyBuffer(announcedBytes);
+  }
 
   getSize(): number {
     return this.body.getSize();
@@ -78,6 +101,7 @@
 
   append(chunk: Uint8Array): void {
     if (this.hasExceededLimit) return;
+    countReadBytes(chunk.byteLength);
     this.body.append(chunk);
     this.memory.handleGrowth(this, chunk.byteLength);
   }
--- a/packages/relay/src/response_reader.ts
+++ b/packages/relay/src/response_reader.ts
@@ -80,8 +80,9 @@
     this.head = {statusCode, headers, precedingResponseCount};
     this.classification = this.request.classify(this.head);
     if (isIdentified(this.classification)) {
-      this.buffer = RESPONSE_MEMORY.open(() =>
-        this.abort({kind: 'lost', reason: 'answer-too-large'}),
+      this.buffer = RESPONSE_MEMORY.open(
+        () => this.abort({kind: 'lost', reason: 'answer-too-large'}),
+        Number(headers['content-length']) || 0,
       );
       return;
     }
--- a/packages/relay/src/testing/caller_server_fixture.ts
+++ b/packages/relay/src/testing/caller_server_fixture.ts
@@ -3,7 +3,8 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
-import {CallerServer, DEFAULT_CALLER_LIMITS} from '../caller_server.js';
+import {DEFAULT_CALLER_LIMITS} from '../caller_limits.js';
+import {CallerServer} from '../caller_server.js';
 import type {HeaderCodec} from '../header_codec.js';
 import type {RelayEntry} from '../entry.js';
 import type {CallerRequest} from '../entry_types.js';
