--- a/packages/relay/src/held_memory.ts
+++ b/packages/relay/src/held_memory.ts
@@ -271,6 +271,7 @@
   private size = 0;
   private userCount = 1;
   private isFinal = false;
+  private isWaiting = false;
 
   constructor(
     private readonly memory: HeldMemory,
@@ -293,7 +294,9 @@
   /** Whether what it is for may be ended for the benefit of others. */
   mayYield(): boolean {
     const isYielding = this.kind === 'upload' || this.kind === 'answer';
-    return isYielding && !this.isFinal && this.size > 0;
+    // One that has not started would give up little, and is not slow.
+    const hasStarted = !this.isWaiting || this.size > SMALL_BYTES;
+    return isYielding && hasStarted && !this.isFinal && this.size > 0;
   }
 
   /** Keeps it until it is released, since the request may run from now on. */
@@ -319,7 +322,9 @@
   /** Waits until further bytes fit; `false` after the time or a release. */
   async whenGrown(bytes: number, timeoutMs: number): Promise<boolean> {
     if (!this.isOpen()) return false;
+    this.isWaiting = true;
     const isGranted = await this.memory.whenReserved(this, bytes, timeoutMs);
+    this.isWaiting = false;
     if (isGranted) this.progressAtMs = performance.now();
     return isGranted;
   }
