Send long bodies between instances in parts

A body was copied by the encoder and again by the WebSocket, beside the copy that the entry holds, and a body of 64 MiB exceeded the limit on bytes queued for a link, which ended the link. Bodies over 256 KiB now go ahead of their frame in parts of 128 KiB, in turns with other frames, if both sides name the feature at the handshake; older versions get whole frames. The receiver reserves the memory of the whole body first; an offer that does not fit is refused as not run.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -76,7 +76,7 @@
   private readonly gate: RelayGate;
   private readonly gateDirectory: GateDirectory;
   private readonly callerServer: CallerServer;
-  private readonly relayTransport = new WebSocketRelayTransport();
+  private readonly relayTransport = new WebSocketRelayTransport(PROCESS_MEMORY);
   private readonly metricsServer;
   private sweepTimer: NodeJS.Timeout | undefined;
   private appliedMembership: unknown;
@@ -252,7 +252,7 @@
   // Periodic task: applies changes of the membership and the configuration.
   private sweep(): void {
     this.measureLoopDelay();
-    PROCESS_MEMORY.setLinkBytes(this.relayTransport.getBufferedBytes());
+    PROCESS_MEMORY.setLinkBytes(this.relayTransport.getUnheldBytes());
     const membership = this.coordinator.getMembership();
     if (membership !== this.appliedMembership) {
       this.appliedMembership = membership;
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -3,6 +3,7 @@
 export * from './addresses.js';
 export * from './member_record.js';
 export * from './messages.js';
+export * from './body_transfers.js';
 export * from './codec.js';
 export * from './transport.js';
 export * from './web_socket_transport.js';
--- a/packages/peer-protocol/src/web_socket_endpoint.ts
+++ b/packages/peer-protocol/src/web_socket_endpoint.ts
@@ -1,6 +1,7 @@
 /** Dials and accepts WebSockets; each kind of link has its own protocol. */
 
 import {once} from 'node:events';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {RawData} from 'ws';
 import {WebSocket, WebSocketServer} from 'ws';
 import {splitAddress} from './addresses.js';
@@ -9,12 +10,16 @@
 export interface EndpointLimits {
   readonly maxFrameBytes: number;
   readonly dialTimeoutMs: number;
+  /** Header by which both sides of a new link name a feature, if they have it. */
+  readonly featureHeader?: string;
 }
 
 /** Creates a link on top of a socket. */
 export type LinkFactory<Link, Events> = (
   socket: WebSocket,
   events: Events,
+  /** Whether the other side has the feature; known once the link is open. */
+  hasFeature: () => boolean,
 ) => Link;
 
 /** Opens, accepts and tracks the links of one transport. */
@@ -31,12 +36,18 @@
   ) {}
 
   dial(address: string, events: Events): Link {
+    const {featureHeader} = this.limits;
     const socket = new WebSocket(`ws://${address}`, {
       handshakeTimeout: this.limits.dialTimeoutMs,
       maxPayload: this.limits.maxFrameBytes,
       perMessageDeflate: false,
+      headers: featureHeader === undefined ? {} : {[featureHeader]: '1'},
     });
-    return this.track(socket, events);
+    let hasFeature = false;
+    socket.once('upgrade', ({headers}) => {
+      hasFeature = namesFeature(headers, featureHeader);
+    });
+    return this.track(socket, events, () => hasFeature);
   }
 
   /** Returns the links that are open or being opened. */
@@ -52,8 +63,13 @@
       perMessageDeflate: false,
     });
     this.server = server;
-    server.on('connection', socket => {
-      events.onOpen(this.track(socket, events));
+    const {featureHeader} = this.limits;
+    server.on('headers', headers => {
+      if (featureHeader !== undefined) headers.push(`${featureHeader}: 1`);
+    });
+    server.on('connection', (socket, {headers}) => {
+      const hasFeature = namesFeature(headers, featureHeader);
+      events.onOpen(this.track(socket, events, () => hasFeature));
     });
     await once(server, 'listening');
   }
@@ -66,14 +82,25 @@
     await new Promise(resolve => server.close(resolve));
   }
 
-  private track(socket: WebSocket, events: Events): Link {
-    const link = this.createLink(socket, events);
+  private track(
+    socket: WebSocket,
+    events: Events,
+    hasFeature: () => boolean,
+  ): Link {
+    const link = this.createLink(socket, events, hasFeature);
     this.links.add(link);
     socket.on('close', () => this.links.delete(link));
     return link;
   }
 }
 
+function namesFeature(
+  headers: IncomingHttpHeaders,
+  featureHeader: string | undefined,
+): boolean {
+  return featureHeader !== undefined && headers[featureHeader] !== undefined;
+}
+
 /**
  * Closes a socket gracefully and terminates it after the grace period; one that
  * is still connecting is terminated at once.
--- a/packages/relay/src/held_memory.ts
+++ b/packages/relay/src/held_memory.ts
@@ -5,7 +5,8 @@
  * no progress yield first; the others wait.
  */
 
-import {countReleasedBytes} from './buffer_collection.js';
+import {countReadBytes, countReleasedBytes} from './buffer_collection.js';
+import type {BodyHolding, BodyMemory} from '@cassiaknot/peer-protocol';
 import type {RelayObserver} from './observer.js';
 
 /** What bytes are held for; `request` and `offer` never yield, as they may run. */
@@ -57,7 +58,7 @@
 }
 
 /** Shares a fixed number of bytes among all holders. */
-export class HeldMemory {
+export class HeldMemory implements BodyMemory {
   private readonly holdings = new Set<Holding>();
   private readonly byBody = new WeakMap<Uint8Array, Holding>();
   private waiters: Waiter[] = [];
@@ -119,6 +120,24 @@
     return holding;
   }
 
+  /** Holds the memory of a body that arrives over a link. */
+  hold(bytes: number): BodyHolding | undefined {
+    const holding = this.open('offer', () => undefined);
+    if (!holding.tryGrow(bytes)) {
+      holding.release();
+      return undefined;
+    }
+    return {
+      setBody: body => this.setBody(holding, body),
+      release: () => holding.release(),
+    };
+  }
+
+  /** Counts bytes that were copied into buffers of their own. */
+  countBytes(bytes: number): void {
+    countReadBytes(bytes);
+  }
+
   /** Names the body of a holding, for {@link retain}. */
   setBody(holding: Holding, body: Uint8Array): void {
     this.byBody.set(body, holding);
