--- a/packages/peer-protocol/src/body_transfers.ts
+++ b/packages/peer-protocol/src/body_transfers.ts
@@ -75,6 +75,7 @@
 export class OutgoingTransfers {
   private transfers: OutgoingTransfer[] = [];
   private lastId = 0;
+  private handleDone: (() => void) | undefined;
 
   constructor(
     private readonly socket: TransferSocket,
@@ -102,6 +103,12 @@
     this.transfers = [];
   }
 
+  /** Calls back once everything has been handed to the socket. */
+  whenDone(handleDone: () => void): void {
+    this.handleDone = handleDone;
+    this.sendNext();
+  }
+
   /** Bytes that have not been handed to the socket, of one kind of frame or of all. */
   countBytes(kind?: BodyFrame['kind']): number {
     let bytes = 0;
@@ -115,7 +122,11 @@
   private readonly sendNext = (): void => {
     while (this.socket.bufferedAmount < HIGH_WATER_BYTES) {
       const transfer = this.transfers.shift();
-      if (!transfer) return;
+      if (!transfer) {
+        this.handleDone?.();
+        this.handleDone = undefined;
+        return;
+      }
       const {frame, sentBytes} = transfer;
       const part = frame.body.subarray(sentBytes, sentBytes + PART_BYTES);
       transfer.sentBytes += part.byteLength;
--- a/packages/peer-protocol/src/relay_transport.ts
+++ b/packages/peer-protocol/src/relay_transport.ts
@@ -157,7 +157,13 @@
   }
 
   close(): void {
-    closeSocket(this.socket, CLOSE_GRACE_MS);
+    const close = () => closeSocket(this.socket, CLOSE_GRACE_MS);
+    if (this.outgoing.countBytes() === 0) {
+      close();
+      return;
+    }
+    this.outgoing.whenDone(close);
+    setTimeout(() => this.socket.terminate(), CLOSE_GRACE_MS).unref();
   }
 
   abort(): void {
