--- a/packages/relay/src/caller_responses.ts
+++ b/packages/relay/src/caller_responses.ts
@@ -4,7 +4,11 @@
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import type {CallerConnection} from './caller_connection.js';
-import {formatRefusal} from './caller_messages.js';
+import {
+  UNAUTHORIZED_STATUS,
+  describeRefusal,
+  formatRefusal,
+} from './caller_messages.js';
 import {PROCESS_MEMORY} from './held_memory.js';
 import type {AnsweredOutcome, LostOutcome, RefusedOutcome} from './outcome.js';
 import {writeBody} from './response_body.js';
@@ -53,18 +57,29 @@
   else writeBody(response, request.socket, body, PROCESS_MEMORY);
 }
 
+/** How a request without an answer is responded to. */
+export interface FailureOptions {
+  /** Whether the response closes the connection. */
+  readonly closes: boolean;
+  /** Challenge of a response to a request without a known key. */
+  readonly challenge: string;
+}
+
 /** Writes the response to a request that has no answer. */
 export function writeFailure(
   response: ServerResponse,
   outcome: RefusedOutcome | LostOutcome,
-  closes: boolean,
+  {closes, challenge}: FailureOptions,
 ): void {
   if (closes) response.setHeader('Connection', 'close');
   switch (outcome.kind) {
     case 'refused': {
-      const isUnknownRoute = outcome.reason === 'no-route';
-      response.statusCode = isUnknownRoute ? 404 : 503;
-      if (!isUnknownRoute) {
+      const {statusCode, isLasting} = describeRefusal(outcome.reason);
+      response.statusCode = statusCode;
+      if (statusCode === UNAUTHORIZED_STATUS) {
+        response.setHeader('WWW-Authenticate', challenge);
+      }
+      if (!isLasting) {
         const seconds = outcome.retryAfterMs / MS_PER_SECOND;
         response.setHeader('Retry-After', seconds.toFixed(3));
       }
--- a/packages/relay/src/caller_server.ts
+++ b/packages/relay/src/caller_server.ts
@@ -363,7 +363,7 @@
     signal: AbortSignal,
   ): Omit<CallerRequest, 'serveUntilMs'> {
     const {headerCodec} = this.options;
-    const {requestId, timeoutMs} = headerCodec.parseCallerHeaders(
+    const {requestId, timeoutMs, key} = headerCodec.parseCallerHeaders(
       request.headers,
     );
     const host = (request.headers.host ?? '').toLowerCase();
@@ -374,6 +374,7 @@
       path: request.url ?? '/',
       headers: filterHeaders(request, headerCodec.strippedRequestHeaders),
       body,
+      key,
       timeoutMs,
       receivedAtMs,
       signal,
@@ -397,7 +398,8 @@
       writeAnswer(exchange, caller.method, outcome, closes);
       return;
     }
-    writeFailure(response, outcome, closes);
+    const {challenge} = this.options.headerCodec;
+    writeFailure(response, outcome, {closes, challenge});
   }
 
   private reject(exchange: CallerExchange, statusCode: number): void {
@@ -429,7 +431,8 @@
       ...describeOutcome(outcome),
     });
     connection.announceClose();
-    writeFailure(response, outcome, true);
+    const {challenge} = headerCodec;
+    writeFailure(response, outcome, {closes: true, challenge});
   }
 
   private recordMetrics(
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,6 +5,7 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
+import {isFramed} from '@cassiaknot/http-client';
 import type {
   CallId,
   Fingerprint,
@@ -25,7 +26,7 @@
 import {PROCESS_MEMORY} from './held_memory.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
-import {flattenHeaders, isFramed} from './response_headers.js';
+import {flattenHeaders} from './response_headers.js';
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
@@ -193,6 +194,7 @@
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
       urgency: offer.urgency,
+      workspaceId: offer.workspaceId,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -253,13 +255,14 @@
 
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
-    const {requestId, callerServiceId} = offer;
+    const {requestId, callerServiceId, workspaceId} = offer;
     const {targetId} = session.getAnnouncement();
     const added = this.options.headerCodec.formatTargetHeaders({
       requestId,
       remainingMs,
       targetId,
       callerServiceId,
+      workspaceId,
     });
     return [...offer.headers, ...added];
   }
