--- a/packages/peer-protocol/src/relay_transport.test.ts
+++ b/packages/peer-protocol/src/relay_transport.test.ts
@@ -166,7 +166,6 @@
           hasArrived: false,
           waitMs: 0,
           runMs: -1,
-          transitMs: undefined,
         },
       ]);
     });
--- a/packages/relay/src/buffer_collection.ts
+++ b/packages/relay/src/buffer_collection.ts
@@ -12,7 +12,7 @@
  * Bytes of long bodies that were released between two complete collections, of 10 to
  * 30 ms each. Long bodies live long enough to leave the young generation.
  */
-const MAJOR_AFTER_BYTES = 16 * 1_024 * 1_024;
+const MAJOR_AFTER_BYTES = 8 * 1_024 * 1_024;
 /** Size from which on a body is long. */
 const MIN_LONG_BYTES = 1_024 * 1_024;
 
--- a/packages/relay/src/held_memory.ts
+++ b/packages/relay/src/held_memory.ts
@@ -63,6 +63,7 @@
   private readonly byBody = new WeakMap<Uint8Array, Holding>();
   private waiters: Waiter[] = [];
   private heldBytes = 0;
+  private answerBytes = 0;
   /** Bytes queued for other instances, as sampled. */
   private linkBytes = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -145,7 +146,7 @@
 
   /** Used by {@link Holding.tryGrow}. */
   tryReserve(holding: Holding, bytes: number): boolean {
-    while (!this.fits(bytes)) {
+    while (!this.fits(bytes) || !this.fitsAnswers(holding, bytes)) {
       if (this.makeStalledYield(holding)) continue;
       if (holding.kind === 'answer' && this.makeLargestAnswerYield(holding)) {
         continue;
@@ -154,6 +155,7 @@
       return false;
     }
     this.heldBytes += bytes;
+    if (holding.kind === 'answer') this.answerBytes += bytes;
     return true;
   }
 
@@ -166,6 +168,7 @@
     const isFirst = bytes <= SMALL_BYTES || this.waiters.length === 0;
     if (isFirst && this.fits(bytes)) {
       this.heldBytes += bytes;
+      if (holding.kind === 'answer') this.answerBytes += bytes;
       holding.handleGrant(bytes);
       return Promise.resolve(true);
     }
@@ -181,6 +184,7 @@
   handleRelease(holding: Holding, bytes: number): void {
     if (!this.holdings.delete(holding)) return;
     this.heldBytes -= bytes;
+    if (holding.kind === 'answer') this.answerBytes -= bytes;
     countReleasedBytes(bytes);
     this.dropWaiters(waiter => waiter.holding === holding);
     this.grantWaiting();
@@ -195,12 +199,19 @@
     return usedBytes + bytes <= this.maxBytes - reservedBytes;
   }
 
+  // Unread answers leave half of the memory to others; a single one may use all of it.
+  private fitsAnswers(holding: Holding, bytes: number): boolean {
+    if (holding.kind !== 'answer' || this.answerBytes === 0) return true;
+    return this.answerBytes + bytes <= this.maxBytes / 2;
+  }
+
   private grantWaiting(): void {
     for (;;) {
       const [first] = this.waiters;
       if (!first || !this.fits(first.bytes)) break;
       this.waiters.shift();
       this.heldBytes += first.bytes;
+      if (first.holding.kind === 'answer') this.answerBytes += first.bytes;
       first.holding.handleGrant(first.bytes);
       first.settle(true);
     }
--- a/packages/relay/src/response_memory.ts
+++ b/packages/relay/src/response_memory.ts
@@ -36,7 +36,8 @@
       this,
       holding,
       onEvict,
-      Math.min(announcedBytes, this.limits.maxResponseBytes),
+      // One that exceeds the limit will be evicted, and gets no block of its length.
+      announcedBytes > this.limits.maxResponseBytes ? 0 : announcedBytes,
     );
     this.buffers.add(buffer);
     return buffer;
@@ -49,7 +50,7 @@
       this.findLargest()?.evict();
     }
     if (buffer.getSize() > this.limits.maxResponseBytes) buffer.evict();
-    while (this.totalBytes > this.limits.maxTotalBytes) {
+    while (this.totalBytes > this.getMaxTotalBytes()) {
       this.findLargest()?.evict();
     }
   }
@@ -65,6 +66,12 @@
     return this.totalBytes;
   }
 
+  // Responses that are read leave half of the memory to those that are written.
+  private getMaxTotalBytes(): number {
+    const {limits, heldMemory} = this;
+    return Math.min(limits.maxTotalBytes, heldMemory.getMaxBytes() / 2);
+  }
+
   // A response without end is larger than the others sooner or later, so that
   // those of normal size stay.
   private findLargest(): ResponseBuffer | undefined {
