--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -1,28 +1,22 @@
 /** Lifecycle and wiring of a daemon with multiplexed request links. */
 
 import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import {Coordinator, SeededRandom} from '@cassiaknot/coordination';
-import type {
-  CallerLimitsRecord,
-  RecordKey,
-  ServiceId,
-} from '@cassiaknot/inventory';
+import type {ServiceId} from '@cassiaknot/inventory';
 import {brandId, makeRecordKey} from '@cassiaknot/inventory';
+import type {RelayLinkEvents} from '@cassiaknot/peer-protocol';
 import {
   WebSocketRelayTransport,
   WebSocketTransport,
 } from '@cassiaknot/peer-protocol';
 import type {
   AnnouncementOutcome,
-  CallerLimits,
   RelayObserver,
   TargetAnnouncement,
   TargetStart,
 } from '@cassiaknot/relay';
 import {
   CallerServer,
-  DEFAULT_CALLER_LIMITS,
   RelayEntry,
   RelayGate,
   GateDirectory,
@@ -30,6 +24,7 @@
   LoopDelay,
   SWEEP_INTERVAL_MS,
   LocalTarget,
+  MeshQuotas,
   openLocalLink,
   ConnectionGuard,
   DEFAULT_MEMORY_MB,
@@ -43,8 +38,9 @@
 import {countLiveMembers} from '../status.js';
 import {MeshMeter} from './mesh_meter.js';
 import {
-  METRICS_CONNECTION_LIMITS,
   SIDE_CONNECTION_LIMITS,
+  createMetricsServer,
+  findCallerLimits,
   getCallerConnectionLimits,
 } from './connection_limits.js';
 import type {MeshDaemonOptions} from './mesh_options.js';
@@ -54,8 +50,6 @@
 
 const COMPONENT = 'daemon';
 const MAX_SEED = 2 ** 31;
-/** Key of the configuration record that holds the limits for callers. */
-const CALLER_LIMITS_KEY: RecordKey = makeRecordKey('caller-limits', 'default');
 /** Delay of the periodic task from which on it is logged. */
 const LOGGED_LOOP_DELAY_MS = 150;
 /** Longest wait for peers to confirm that a link is closed. */
@@ -74,6 +68,7 @@
   private readonly coordinator: Coordinator;
   private readonly localTarget: LocalTarget;
   private readonly gate: RelayGate;
+  private readonly quotas: MeshQuotas | undefined;
   private readonly gateDirectory: GateDirectory;
   private readonly callerServer: CallerServer;
   private readonly relayTransport = new WebSocketRelayTransport(PROCESS_MEMORY);
@@ -107,19 +102,10 @@
       onTargetChange: () => this.gate.publishTargetState(),
     });
     this.gate = this.newGate();
+    this.quotas = this.newQuotas();
     this.gateDirectory = this.newGateDirectory();
     this.callerServer = this.newCallerServer();
-    this.metricsServer = createServer((_request, response) => {
-      void this.registry.metrics().then(text => {
-        response.setHeader('content-type', this.registry.contentType);
-        response.end(text);
-      });
-    });
-    new ConnectionGuard(this.metricsServer, {
-      name: 'metrics',
-      limits: METRICS_CONNECTION_LIMITS,
-      observer: this.observer,
-    });
+    this.metricsServer = createMetricsServer(this.registry, this.observer);
     this.registerGauges();
   }
 
@@ -135,7 +121,7 @@
     this.startedAtMs = performance.now();
     await this.relayTransport.listen(
       identity.gateAddress,
-      this.gate.getLinkEvents(),
+      this.getGateEvents(),
     );
     await this.coordinator.start();
     await this.callerServer.listen(callerAddress.host, callerAddress.port);
@@ -270,6 +256,7 @@
       });
     }
     this.gateDirectory.sweep();
+    this.quotas?.sweep();
     this.localTarget.sweep();
     this.logFirstReadiness();
     void this.discoverTarget();
@@ -375,9 +362,29 @@
       self: identity.instanceId,
       dataCentreId: identity.dataCentreId,
       dial: (address, events) => this.relayTransport.dial(address, events),
-      openLocalLink: events => openLocalLink(events, this.gate.getLinkEvents()),
+      openLocalLink: events => openLocalLink(events, this.getGateEvents()),
       random: new SeededRandom(Math.floor(Math.random() * MAX_SEED)),
       observer: this.observer,
+      ...(this.quotas ? {watcher: this.quotas} : {}),
+    });
+  }
+
+  private getGateEvents(): RelayLinkEvents {
+    const events = this.gate.getLinkEvents();
+    return this.quotas?.wrapGateEvents(events) ?? events;
+  }
+
+  private newQuotas(): MeshQuotas | undefined {
+    const {identity, quotaBounds: bounds} = this.options;
+    if (!bounds) return undefined;
+    return new MeshQuotas({
+      self: identity.instanceId,
+      dataCentreId: identity.dataCentreId,
+      bounds,
+      getConfiguration: () => this.coordinator.getConfiguration(),
+      getMemberCount: () => countLiveMembers(this.coordinator),
+      observer: this.observer,
+      random: Math.random,
     });
   }
 
@@ -394,12 +401,13 @@
       getCallerServiceId,
       observer: this.observer,
       random: Math.random,
+      ...(this.quotas ? {quotaGate: this.quotas} : {}),
     });
     return new CallerServer({
       entry,
       headerCodec,
       observer: this.observer,
-      getLimits: () => this.getCallerLimits(),
+      getLimits: () => findCallerLimits(this.coordinator.getConfiguration()),
       getLoopDelayMs: () => this.loopDelay.getDelayMs(),
       connectionLimits: getCallerConnectionLimits(this.options.maxFds),
     });
@@ -414,12 +422,6 @@
     return true;
   }
 
-  private getCallerLimits(): CallerLimits {
-    const {records} = this.coordinator.getConfiguration().state;
-    const record = records.get(CALLER_LIMITS_KEY);
-    return isCallerLimits(record) ? record : DEFAULT_CALLER_LIMITS;
-  }
-
   private registerGauges(): void {
     this.meter.registerGauges({
       getVersion: () => this.appliedVersion,
@@ -429,6 +431,7 @@
       getRunningCount: () =>
         this.localTarget.getSession()?.getLoad().running ?? 0,
       getDroppedLogLineCount: this.options.getDroppedLogLineCount,
+      getLentWorkspaceCount: () => this.quotas?.getLentCount() ?? 0,
     });
   }
 
@@ -440,9 +443,3 @@
     };
   }
 }
-
-function isCallerLimits(
-  record: {readonly kind: string} | undefined,
-): record is CallerLimitsRecord {
-  return record?.kind === 'caller-limits';
-}
