--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -1,12 +1,8 @@
 /** Lifecycle and wiring of a daemon with multiplexed request links. */
 
-import {createServer} from 'node:http';
+import type {Server} from 'node:http';
 import {Coordinator, SeededRandom} from '@cassiaknot/coordination';
-import type {
-  CallerLimitsRecord,
-  RecordKey,
-  ServiceId,
-} from '@cassiaknot/inventory';
+import type {ServiceId} from '@cassiaknot/inventory';
 import {brandId, makeRecordKey} from '@cassiaknot/inventory';
 import type {RelayLinkEvents} from '@cassiaknot/peer-protocol';
 import {
@@ -15,14 +11,12 @@
 } from '@cassiaknot/peer-protocol';
 import type {
   AnnouncementOutcome,
-  CallerLimits,
   RelayObserver,
   TargetAnnouncement,
   TargetStart,
 } from '@cassiaknot/relay';
 import {
   CallerServer,
-  DEFAULT_CALLER_LIMITS,
   RelayEntry,
   RelayGate,
   GateDirectory,
@@ -32,6 +26,10 @@
   LocalTarget,
   MeshQuotas,
   openLocalLink,
+  ConnectionGuard,
+  DEFAULT_MEMORY_MB,
+  PROCESS_MEMORY,
+  toHeldBytes,
 } from '@cassiaknot/relay';
 import {SlidingRetryBudget} from '@cassiaknot/routing';
 import {LimitedStore, TokenBucket} from '@cassiaknot/store';
@@ -39,6 +37,12 @@
 import {ControlMeter} from '../control_meter.js';
 import {countLiveMembers} from '../status.js';
 import {MeshMeter} from './mesh_meter.js';
+import {
+  SIDE_CONNECTION_LIMITS,
+  createMetricsServer,
+  findCallerLimits,
+  getCallerConnectionLimits,
+} from './connection_limits.js';
 import type {MeshDaemonOptions} from './mesh_options.js';
 import {MESH_OVERLAY, MESH_TIMING, STORE_CALL_LIMIT} from './mesh_options.js';
 import type {ShutdownHooks} from './graceful_shutdown.js';
@@ -47,8 +51,6 @@
 
 const COMPONENT = 'daemon';
 const MAX_SEED = 2 ** 31;
-/** Key of the configuration record that holds the limits for callers. */
-const CALLER_LIMITS_KEY: RecordKey = makeRecordKey('caller-limits', 'default');
 /** Delay of the periodic task from which on it is logged. */
 const LOGGED_LOOP_DELAY_MS = 150;
 /** Longest wait for peers to confirm that a link is closed. */
@@ -70,7 +72,7 @@
   private readonly quotas: MeshQuotas | undefined;
   private readonly gateDirectory: GateDirectory;
   private readonly callerServer: CallerServer;
-  private readonly relayTransport = new WebSocketRelayTransport();
+  private readonly relayTransport = new WebSocketRelayTransport(PROCESS_MEMORY);
   private readonly metricsServer;
   private sweepTimer: NodeJS.Timeout | undefined;
   private appliedMembership: unknown;
@@ -89,6 +91,8 @@
       count: (event, reason) => this.meter.count(event, reason),
       measure: (stage, latencyMs) => this.meter.measure(stage, latencyMs),
     };
+    const {memoryMb = DEFAULT_MEMORY_MB} = options;
+    PROCESS_MEMORY.configure(toHeldBytes(memoryMb), this.observer);
     this.coordinator = this.newCoordinator();
     this.localTarget = new LocalTarget({
       getAddress: options.getTargetAddress,
@@ -102,15 +106,16 @@
     this.quotas = this.newQuotas();
     this.gateDirectory = this.newGateDirectory();
     this.callerServer = this.newCallerServer();
-    this.metricsServer = createServer((_request, response) => {
-      void this.registry.metrics().then(text => {
-        response.setHeader('content-type', this.registry.contentType);
-        response.end(text);
-      });
-    });
+    this.metricsServer = createMetricsServer(this.registry, this.observer);
     this.registerGauges();
   }
 
+  /** Bounds the connections of a server beside the one for callers. */
+  guardConnections(server: Server, name: string): void {
+    const limits = SIDE_CONNECTION_LIMITS;
+    new ConnectionGuard(server, {name, limits, observer: this.observer});
+  }
+
   /** Binds all ports and joins the mesh. */
   async start(): Promise<void> {
     const {callerAddress, identity, metricsAddress, log} = this.options;
@@ -234,6 +239,7 @@
   // Periodic task: applies changes of the membership and the configuration.
   private sweep(): void {
     this.measureLoopDelay();
+    PROCESS_MEMORY.setLinkBytes(this.relayTransport.getUnheldBytes());
     const membership = this.coordinator.getMembership();
     if (membership !== this.appliedMembership) {
       this.appliedMembership = membership;
@@ -402,8 +408,9 @@
       entry,
       headerCodec,
       observer: this.observer,
-      getLimits: () => this.getCallerLimits(),
+      getLimits: () => findCallerLimits(this.coordinator.getConfiguration()),
       getLoopDelayMs: () => this.loopDelay.getDelayMs(),
+      connectionLimits: getCallerConnectionLimits(this.options.maxFds),
     });
   }
 
@@ -416,12 +423,6 @@
     return true;
   }
 
-  private getCallerLimits(): CallerLimits {
-    const {records} = this.coordinator.getConfiguration().state;
-    const record = records.get(CALLER_LIMITS_KEY);
-    return isCallerLimits(record) ? record : DEFAULT_CALLER_LIMITS;
-  }
-
   private registerGauges(): void {
     this.meter.registerGauges({
       getVersion: () => this.appliedVersion,
@@ -440,9 +441,3 @@
     };
   }
 }
-
-function isCallerLimits(
-  record: {readonly kind: string} | undefined,
-): record is CallerLimitsRecord {
-  return record?.kind === 'caller-limits';
-}
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -28,6 +28,7 @@
   toSharePriority,
 } from './gate_shares.js';
 import type {HeaderCodec} from './header_codec.js';
+import {PROCESS_MEMORY} from './held_memory.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
 import {flattenHeaders} from './response_headers.js';
@@ -36,6 +37,7 @@
 import {StopLimit} from './stop_limit.js';
 import {checkAdmission} from './gate_admission.js';
 import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
+import {checkAdmission} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
@@ -186,6 +188,13 @@
     fingerprint: Fingerprint,
     transitMs: number,
   ): void {
+    const {body} = offer;
+    const bodyHolding =
+      body.byteLength > 0 ? PROCESS_MEMORY.retain(body, 'offer') : undefined;
+    if (body.byteLength > 0 && !bodyHolding) {
+      this.refuseOffer({link, offer, session, transitMs}, 'no-memory');
+      return;
+    }
     const nowMs = performance.now();
     const sentAtMs = nowMs - transitMs;
     const {ruleId, objectiveMs, remainingMs} = offer;
@@ -207,6 +216,7 @@
       transitMs,
       controller: new AbortController(),
       job,
+      bodyHolding,
       isRunning: false,
       isSettled: false,
     };
@@ -240,6 +250,7 @@
         this.options.headerCodec.classifyResponse(offer.requestId, head),
     });
     clearTimeout(timer);
+    call.bodyHolding?.release();
     const hasResponse = exchange.kind === 'response';
     session.endRun(job, offer.ruleId, hasResponse);
     const runMs = performance.now() - startedAtMs;
@@ -436,6 +447,7 @@
     call.isSettled = true;
     this.connections.get(call.link)?.calls.delete(call.offer.callId);
     this.callCount -= 1;
+    if (!call.isRunning) call.bodyHolding?.release();
     return true;
   }
 }
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -41,6 +41,12 @@
   | 'target-refusal'
   | 'target-report'
   | 'announcement'
+  /** Memory that was refused, or given up for others. */
+  | 'memory'
+  /** A reservation of memory that had to wait. */
+  | 'memory-wait'
+  /** A connection that was closed because of a limit. */
+  | 'connection-closed'
   /** How a request of a limited workspace got its permit, or why not. */
   | 'quota'
   /** What a lender did with a request for permits. */
