Measure what a start of all daemons costs, by part

A start costs more than its goal, but no benchmark showed where. `npm run bench -- start` starts daemons on loopback at once and prints the processor time of one, divided by a sampling profile.

--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -1,4 +1,4 @@
-/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|workspaces|load`. */
+/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|workspaces|load|start`. */
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
@@ -7,6 +7,7 @@
 import {runLoadBench} from './load_bench.js';
 import {runLatencyBench} from './latency_bench.js';
 import {runMembershipBench} from './membership_bench.js';
+import {runStartBench} from './start_bench.js';
 import {runWorkspaceBench} from './workspace_bench.js';
 
 await yargs(hideBin(process.argv))
@@ -91,6 +92,20 @@
       print(await runLoadBench({scenarioPath, seeds}));
     },
   )
+  .command(
+    'start',
+    'processor time of a start of all daemons at once',
+    builder =>
+      builder
+        .option('sizes', {type: 'number', array: true, default: [20, 40]})
+        .option('duration-ms', {type: 'number', default: 3_000})
+        .option('routes', {type: 'number', default: 800})
+        .option('requests', {type: 'number', default: 20}),
+    async args => {
+      const {durationMs, requests, routes, sizes} = args;
+      print(await runStartBench({durationMs, requests, routes, sizes}));
+    },
+  )
   .demandCommand(1, 'Specify a benchmark.')
   .strict()
   .parse();
