Open links as callers need them, and pace the others after a start

When all daemons start at once, each dialled every other one as fast as it could, beside the configuration and the first requests. Members now state their service, so an entry dials the gates of the services that its callers use first, own data centre first, six a service and more when those do not suffice. Other links take one token each of a bucket (burst 8, one per 100 ms, accepted links included) in the first 10 s; meshes of up to nine instances are served as before. A request for a service without an open link waits for it, for up to 1 s and half of its remaining time, instead of being refused.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -110,10 +110,14 @@
   async start(): Promise<void> {
     const {callerAddress, identity, metricsAddress, log} = this.options;
     this.startedAtMs = performance.now();
-    await this.relayTransport.listen(
-      identity.gateAddress,
-      this.gate.getLinkEvents(),
-    );
+    const linkEvents = this.gate.getLinkEvents();
+    await this.relayTransport.listen(identity.gateAddress, {
+      ...linkEvents,
+      onOpen: link => {
+        this.gateDirectory.recordAccepted();
+        linkEvents.onOpen(link);
+      },
+    });
     await this.coordinator.start();
     await this.callerServer.listen(callerAddress.host, callerAddress.port);
     this.metricsServer.listen(metricsAddress.port, metricsAddress.host);
@@ -302,8 +306,9 @@
       tokenBucket,
       this.controlMeter.newStoreObserver('coordination'),
     );
+    const serviceId = brandId<ServiceId>(this.options.getCallerServiceId());
     return new Coordinator({
-      identity,
+      identity: serviceId === '' ? identity : {...identity, serviceId},
       overlay: {...MESH_OVERLAY, fallbackSeeds},
       timing: MESH_TIMING,
       transport: new WebSocketTransport(this.controlMeter),
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -18,6 +18,7 @@
   DEFAULT_OBJECTIVE_MS,
   DEFAULT_TIMEOUT_MS,
   DEFAULT_URGENCY,
+  LINK_WAIT_SHARE,
   MIN_RETRY_AFTER_MS,
   RETRY_AFTER_MS,
 } from './constants.js';
@@ -28,7 +29,7 @@
   RoutePlan,
 } from './entry_types.js';
 import type {LogFields} from './observer.js';
-import type {RelayOutcome} from './outcome.js';
+import type {RefusalReason, RelayOutcome} from './outcome.js';
 import {describeOutcome, newRefusal} from './outcome.js';
 import {RoutedRequest} from './routed_request.js';
 
@@ -45,6 +46,12 @@
 /** Time for which a service is expected to send further responses without a length. */
 const UNFRAMED_RESPONSE_TTL_MS = 60_000;
 
+/** Refusals after which further links may help the next request. */
+const SHORTAGES: ReadonlySet<RefusalReason> = new Set([
+  'no-target',
+  'overloaded',
+]);
+
 /** Outcome of a request, with the fields logged alongside it. */
 interface RoutedOutcome {
   readonly outcome: RelayOutcome;
@@ -113,6 +120,8 @@
       const outcome = newRefusal('no-target', RETRY_AFTER_MS);
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
+    const linkWait = this.waitForLink(request, plan);
+    if (linkWait) await linkWait;
     if (request.signal.aborted) {
       const outcome: RelayOutcome = {kind: 'lost', reason: 'cancelled'};
       return {outcome, fields: {version, ruleId: route.rule.id}};
@@ -129,6 +138,9 @@
       return {outcome, fields: routed.getLogFields()};
     }
     const outcome = await routed.run();
+    if (outcome.kind === 'refused' && SHORTAGES.has(outcome.reason)) {
+      this.options.directory.openMore(plan.serviceId);
+    }
     if (outcome.kind === 'answered' && !outcome.isFramed) {
       const untilMs = performance.now() + UNFRAMED_RESPONSE_TTL_MS;
       this.unframedUntilMs.set(plan.serviceId, untilMs);
@@ -136,6 +148,23 @@
     return {outcome, fields: routed.getLogFields()};
   }
 
+  // Links are opened as callers need them, so the first request may precede its link.
+  private waitForLink(
+    request: CallerRequest,
+    plan: RoutePlan,
+  ): Promise<void> | undefined {
+    const {receivedAtMs, timeoutMs = Infinity, serveUntilMs} = request;
+    const deadlineAtMs = Math.min(
+      receivedAtMs + Math.min(timeoutMs, plan.timeoutMs),
+      serveUntilMs,
+    );
+    const remainingMs = deadlineAtMs - performance.now();
+    return this.options.directory.whenAccepting(
+      plan.serviceId,
+      LINK_WAIT_SHARE * remainingMs,
+    );
+  }
+
   // The newer version may have the route or the key.
   private refuseUnknown(reason: 'no-route' | 'unknown-key'): RelayOutcome {
     return this.options.hasNewerVersion()
