Count opened links in one log line a second after a start

A line for each of 79 links, each about 0.2 ms, was written while the first requests waited; the state of a target is still logged when it changes or does not accept. Refusals without a configuration or target get a random Retry-After around the same mean, so that callers that were refused together do not return together.

--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -101,7 +101,7 @@
     const mayRoute = await this.options.mayRoute();
     const {state, workspaces} = this.options.getConfiguration();
     if (state.version === 0 || !mayRoute) {
-      const outcome = newRefusal('no-configuration', RETRY_AFTER_MS);
+      const outcome = newRefusal('no-configuration', this.getRetryAfterMs());
       return {outcome, fields: {version: state.version, mayRoute}};
     }
     const route = this.findRoute(request);
@@ -117,7 +117,7 @@
     }
     const plan = this.resolvePlan(route, request, version, workspace);
     if (!plan) {
-      const outcome = newRefusal('no-target', RETRY_AFTER_MS);
+      const outcome = newRefusal('no-target', this.getRetryAfterMs());
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
     const linkWait = this.waitForLink(request, plan);
@@ -165,10 +165,15 @@
     );
   }
 
+  // Callers that were refused together, such as after a start, come back spread out.
+  private getRetryAfterMs(): number {
+    return RETRY_AFTER_MS * (0.5 + this.options.random());
+  }
+
   // The newer version may have the route or the key.
   private refuseUnknown(reason: 'no-route' | 'unknown-key'): RelayOutcome {
     return this.options.hasNewerVersion()
-      ? newRefusal('version-behind', RETRY_AFTER_MS)
+      ? newRefusal('version-behind', this.getRetryAfterMs())
       : newRefusal(reason, 0);
   }
 
--- a/packages/relay/src/gate_directory.test.ts
+++ b/packages/relay/src/gate_directory.test.ts
@@ -83,6 +83,7 @@
   /** Events of the latest link to each gate, by its number. */
   readonly links = new Map<number, RelayLinkEvents>();
   private readonly opened = new Set<number>();
+  readonly observer = new RecordingObserver();
   readonly directory = new GateDirectory({
     self: brandId<InstanceId>('self'),
     dataCentreId: 'd',
@@ -92,7 +93,7 @@
     },
     openLocalLink: () => IDLE_LINK,
     random: new SeededRandom(1),
-    observer: new RecordingObserver(),
+    observer: this.observer,
   });
 
   constructor(gateCount = GATE_COUNT) {
@@ -277,6 +278,26 @@
       expect(test.directory.whenAccepting(unknown, 10_000)).to.equal(undefined);
     });
 
+    // A line for each link took part of the processor time that a start has.
+    it('logs the links opened after the start in a line a second', () => {
+      const test = new TestDirectory(0);
+      test.addMembers(MANY_GATES, newLargeMember);
+      test.openDialled();
+      sweepFor(test, 3_000);
+      const {lines} = test.observer;
+      expect(lines.map(({event}) => event)).to.deep.equal(
+        Array.from({length: lines.length}, () => 'opened'),
+      );
+      expect(lines.length).to.be.within(2, 3);
+      const [gate = 0] = test.links.keys();
+      test.report(gate, {
+        serviceId: SERVICE_A,
+        isAccepting: false,
+        startedAtMs: 1,
+      });
+      expect(lines.at(-1)?.event).to.equal('target-state');
+    });
+
     // Every gate has failed once: callers are refused at once, as they can retry elsewhere.
     it('lets no request wait for gates that could not be reached', () => {
       const test = new TestDirectory();
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -24,6 +24,7 @@
 import {LinkPace, chooseDials, shuffle} from './dial_plan.js';
 import {GateLink} from './gate_link.js';
 import {LinkDemand} from './link_demand.js';
+import {LinkLog} from './link_log.js';
 import type {RelayObserver} from './observer.js';
 import {SendClock} from './transit_delay.js';
 
@@ -55,8 +56,6 @@
   lastSeenAtMs: number;
 }
 
-const COMPONENT = 'link';
-
 /** Gates of all known members. */
 export class GateDirectory {
   private readonly gates = new Map<InstanceId, KnownGate>();
@@ -67,8 +66,11 @@
   private readonly demand = new LinkDemand();
   private readonly startedAtMs = performance.now();
   private readonly pace = new LinkPace(this.startedAtMs);
+  private readonly log: LinkLog;
 
-  constructor(private readonly options: GateDirectoryOptions) {}
+  constructor(private readonly options: GateDirectoryOptions) {
+    this.log = new LinkLog(options.observer, this.startedAtMs);
+  }
 
   /** Applies the current member list. */
   setMembers(members: Iterable<MemberRecord>): void {
@@ -99,6 +101,7 @@
     }
     this.dialDue();
     this.releaseHopeless();
+    this.log.logSummary(nowMs, this.gates.size);
   }
 
   /** Returns the gates whose target runs a service and accepts requests. */
@@ -254,7 +257,7 @@
     gate.isUntried = false;
     gate.openingSinceMs = undefined;
     gate.nextDialAtMs = performance.now() + gate.backoff.next();
-    this.options.observer.log('info', COMPONENT, 'lost', {gate: instanceId});
+    this.log.logLost(instanceId);
   }
 
   private handleTargetState(
@@ -271,14 +274,15 @@
     if (state.isAccepting) {
       this.addAccepting(brandId<ServiceId>(state.serviceId), gate.link);
     }
-    const {serviceId, isAccepting, slots, coldMs} = state;
-    this.options.observer.log('info', COMPONENT, 'target-state', {
-      gate: instanceId,
-      serviceId,
-      isAccepting,
-      slots,
-      coldMs: Math.round(coldMs),
-    });
+    if (
+      isOpening &&
+      state.isAccepting &&
+      this.pace.isActive(performance.now())
+    ) {
+      this.log.recordOpened();
+    } else {
+      this.log.logTargetState(instanceId, state);
+    }
     if (isOpening) this.dialDue();
   }
 
