--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -11,7 +11,9 @@
   getOpenGateCount(): number;
   getWaitingCount(): number;
   getRunningCount(): number;
+  getOverShareCount(): number;
   getDroppedLogLineCount(): number;
+  getLentWorkspaceCount(): number;
 }
 
 /** Upper bounds of the latency buckets, in milliseconds. */
@@ -69,11 +71,21 @@
         'Requests that the target runs',
         () => gauges.getRunningCount(),
       ],
+      [
+        'cassiaknot_workspaces_over_share',
+        'Workspaces above their fair share while requests queue for the target',
+        () => gauges.getOverShareCount(),
+      ],
       [
         'cassiaknot_log_lines_dropped',
         'Log lines left out because the output was not read',
         () => gauges.getDroppedLogLineCount(),
       ],
+      [
+        'cassiaknot_lent_workspaces',
+        'Workspaces of which this instance lends permits',
+        () => gauges.getLentWorkspaceCount(),
+      ],
     ];
     for (const [name, help, readValue] of gaugeDefinitions) {
       registerGauge(this.registry, name, help, readValue);
--- a/packages/relay/src/dial_plan.ts
+++ b/packages/relay/src/dial_plan.ts
@@ -27,6 +27,8 @@
   readonly spareAllowance: number;
   /** Links that callers need, by service. */
   readonly shortages: ReadonlyMap<ServiceId, number>;
+  /** Whether all links within the own data centre are needed, as lenders of quotas are. */
+  readonly needsOwnDataCentre: boolean;
 }
 
 /**
@@ -35,21 +37,23 @@
  */
 export function chooseDials<T extends DialCandidate>(
   candidates: readonly T[],
-  {room, spareAllowance, shortages}: DialLimits,
+  {room, spareAllowance, shortages, needsOwnDataCentre}: DialLimits,
 ): T[] {
   const ordered = [
     ...candidates.filter(({isSameDataCentre}) => isSameDataCentre),
     ...candidates.filter(({isSameDataCentre}) => !isSameDataCentre),
   ];
   const missing = new Map(shortages);
-  const needed: T[] = [];
-  const spare: T[] = [];
-  for (const candidate of ordered) {
-    const isNeeded = needed.length < room && takeMissing(missing, candidate);
-    (isNeeded ? needed : spare).push(candidate);
-  }
-  const spareRoom = Math.min(spareAllowance, room - needed.length);
-  return [...needed, ...spare.slice(0, Math.max(0, spareRoom))];
+  const needed = ordered.filter(candidate => takeMissing(missing, candidate));
+  const others = ordered.filter(candidate => !needed.includes(candidate));
+  const isNeededLink = (candidate: T) =>
+    needsOwnDataCentre && candidate.isSameDataCentre;
+  needed.push(...others.filter(isNeededLink));
+  const spare = others.filter(candidate => !isNeededLink(candidate));
+  return [...needed, ...spare.slice(0, spareAllowance)].slice(
+    0,
+    Math.max(0, room),
+  );
 }
 
 // A gate that does not state its service may serve any.
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -25,12 +25,15 @@
 import type {
   CallerRequest,
   EntryContext,
+  QuotaAdmission,
   RelayEntryOptions,
   RoutePlan,
 } from './entry_types.js';
 import type {LogFields} from './observer.js';
 import type {RefusalReason, RelayOutcome} from './outcome.js';
 import {describeOutcome, newRefusal} from './outcome.js';
+import type {PastRefusals} from './repeated_requests.js';
+import {RepeatedRequests} from './repeated_requests.js';
 import {RoutedRequest} from './routed_request.js';
 
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -69,6 +72,8 @@
   /** Services whose targets have sent responses without a length, until a time. */
   private readonly unframedUntilMs = new Map<ServiceId, number>();
 
+  private readonly repeatedRequests = new RepeatedRequests();
+
   constructor(readonly options: RelayEntryOptions) {}
 
   /**
@@ -92,11 +97,34 @@
 
   /** Routes one request, logs its outcome and returns it. */
   async handle(request: CallerRequest): Promise<RelayOutcome> {
+    const past = this.recordArrival(request);
     const {outcome, fields} = await this.route(request);
-    this.logOutcome(request, outcome, fields);
+    this.recordRepeat(request, past, outcome);
+    const pastRefusals = past?.count;
+    this.logOutcome(request, outcome, {...fields, pastRefusals});
     return outcome;
   }
 
+  private recordArrival({requestId}: CallerRequest): PastRefusals | undefined {
+    const past = this.repeatedRequests.find(requestId, performance.now());
+    if (past) this.options.observer.count('repeated', past.lastReason);
+    return past;
+  }
+
+  private recordRepeat(
+    {requestId}: CallerRequest,
+    past: PastRefusals | undefined,
+    outcome: RelayOutcome,
+  ): void {
+    if (outcome.kind !== 'refused') {
+      if (past) this.repeatedRequests.forget(requestId);
+      return;
+    }
+    const {reason} = outcome;
+    if (past) this.options.observer.count('refused-again', reason);
+    this.repeatedRequests.recordRefusal(requestId, reason, performance.now());
+  }
+
   private async route(request: CallerRequest): Promise<RoutedOutcome> {
     const mayRoute = await this.options.mayRoute();
     const {state, workspaces} = this.options.getConfiguration();
@@ -126,12 +154,40 @@
       const outcome: RelayOutcome = {kind: 'lost', reason: 'cancelled'};
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
+    const admission = await this.admit(plan);
+    if (!admission.isAdmitted) return refuseOverQuota(plan, admission);
+    const forwarded = hasWorkspaces(workspaces)
+      ? this.dropWorkspaceHeaders(request)
+      : request;
+    const routed = await this.routeAdmitted(forwarded, plan);
+    const isUnused = routed.outcome.kind === 'refused';
+    if (isUnused) this.releasePermit(plan, admission);
+    return routed;
+  }
+
+  // Without a limit there is no promise to wait for.
+  private admit(plan: RoutePlan): QuotaAdmission | Promise<QuotaAdmission> {
+    const {workspace} = plan;
+    const {quotaGate} = this.options;
+    if (!workspace || !quotaGate) return {isAdmitted: true};
+    return quotaGate.acquire(workspace, performance.now());
+  }
+
+  private releasePermit(
+    {workspace}: RoutePlan,
+    {permitExpiresAtMs}: Extract<QuotaAdmission, {isAdmitted: true}>,
+  ): void {
+    if (!workspace || permitExpiresAtMs === undefined) return;
+    const nowMs = performance.now();
+    this.options.quotaGate?.release(workspace, permitExpiresAtMs, nowMs);
+  }
+
+  private async routeAdmitted(
+    request: CallerRequest,
+    plan: RoutePlan,
+  ): Promise<RoutedOutcome> {
     this.options.retryBudget.recordRequest(plan.serviceId, performance.now());
-    const routed = new RoutedRequest(
-      this,
-      hasWorkspaces(workspaces) ? this.dropWorkspaceHeaders(request) : request,
-      plan,
-    );
+    const routed = new RoutedRequest(this, request, plan);
     if (!routed.endsBefore(request.serveUntilMs)) {
       // The caller can go elsewhere at once; this process is about to end.
       const outcome = newRefusal('stopping', MIN_RETRY_AFTER_MS);
@@ -215,7 +271,7 @@
     );
   }
 
-  private resolvePlan(
+  protected resolvePlan(
     route: Route,
     request: CallerRequest,
     version: number,
@@ -253,6 +309,17 @@
   }
 }
 
+function refuseOverQuota(
+  plan: RoutePlan,
+  refusal: Extract<QuotaAdmission, {isAdmitted: false}>,
+): RoutedOutcome {
+  const {version, ruleId, workspace} = plan;
+  return {
+    outcome: newRefusal('over-quota', refusal.retryAfterMs),
+    fields: {version, ruleId, workspaceId: workspace?.id, ...refusal.details},
+  };
+}
+
 function isIdempotent(rule: Route['rule'], method: string): boolean {
   return rule.isIdempotent ?? IDEMPOTENT_METHODS.has(method);
 }
--- a/packages/relay/src/gate_directory.test.ts
+++ b/packages/relay/src/gate_directory.test.ts
@@ -213,8 +213,13 @@
       const test = new TestDirectory(0);
       test.addMembers(MANY_GATES, newLargeMember);
       test.openDialled();
+      const events = test.directory.countAccepted({
+        onOpen: () => undefined,
+        onFrame: () => undefined,
+        onClose: () => undefined,
+      });
       for (let count = 0; count < MANY_GATES; count += 1) {
-        test.directory.recordAccepted();
+        events.onOpen(IDLE_LINK);
       }
       const owedCount = LINK_BURST + MAX_LINK_DEBT;
       sweepFor(test, (owedCount - 1) * LINK_INTERVAL_MS);
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -28,6 +28,15 @@
 import type {RelayObserver} from './observer.js';
 import {SendClock} from './transit_delay.js';
 
+/** Learns of gates and of their links. */
+export interface GateWatcher {
+  onKnown(link: GateLink, dataCentreId: string): void;
+  onOpen(instanceId: InstanceId): void;
+  onClose(instanceId: InstanceId): void;
+  onForgotten(instanceId: InstanceId): void;
+  onPermitGrant(grant: RelayFrameOf<'permit-grant'>): void;
+}
+
 /** Dependencies of a {@link GateDirectory}. */
 export interface GateDirectoryOptions {
   readonly self: InstanceId;
@@ -37,6 +46,7 @@
   readonly openLocalLink: (events: RelayLinkEvents) => RelayLink;
   readonly random: RandomSource;
   readonly observer: RelayObserver;
+  readonly watcher?: GateWatcher;
 }
 
 /** A gate with its link and dial state. */
@@ -97,6 +107,7 @@
       if (gate.isDialled) continue;
       if (nowMs - gate.lastSeenAtMs > MEMBER_RETENTION_MS) {
         this.gates.delete(instanceId);
+        this.options.watcher?.onForgotten(instanceId);
       }
     }
     this.dialDue();
@@ -131,9 +142,13 @@
     this.dialDue();
   }
 
-  /** Records a link that a peer has opened; the own dials are paced by it. */
-  recordAccepted(): void {
-    this.pace.recordLink(performance.now());
+  /** Wraps the events of links that peers open; the own dials are paced by them. */
+  countAccepted(events: RelayLinkEvents): RelayLinkEvents {
+    const onOpen = (link: RelayLink) => {
+      this.pace.recordLink(performance.now());
+      events.onOpen(link);
+    };
+    return {...events, onOpen};
   }
 
   /** Returns the number of gates with an open link and a known target state. */
@@ -162,6 +177,7 @@
       () => this.handleClose(instanceId),
       state => this.handleTargetState(instanceId, state),
       this.sendClock,
+      grant => this.options.watcher?.onPermitGrant(grant),
     );
     const gate: KnownGate = {
       instanceId,
@@ -177,6 +193,7 @@
       lastSeenAtMs: nowMs,
     };
     this.gates.set(instanceId, gate);
+    this.options.watcher?.onKnown(link, dataCentreId);
     if (instanceId === this.options.self) this.dial(instanceId, gate);
   }
 
@@ -198,11 +215,16 @@
       this.countLinks(id, nowMs),
     );
     // Most sweeps after a start have nothing to dial yet.
-    if (spareAllowance === 0 && shortages.size === 0) return;
+    const needsOwnDataCentre = this.options.watcher !== undefined;
+    const hasNeed =
+      shortages.size > 0 ||
+      (needsOwnDataCentre && due.some(gate => gate.isSameDataCentre));
+    if (spareAllowance === 0 && !hasNeed) return;
     const chosen = chooseDials(shuffle(due, this.options.random), {
       room,
       spareAllowance,
       shortages,
+      needsOwnDataCentre,
     });
     for (const gate of chosen) this.dial(gate.instanceId, gate);
   }
@@ -265,6 +287,7 @@
     gate.openingSinceMs = undefined;
     gate.nextDialAtMs = performance.now() + gate.backoff.next();
     this.log.logLost(instanceId);
+    this.options.watcher?.onClose(instanceId);
   }
 
   private handleTargetState(
@@ -290,7 +313,9 @@
     } else {
       this.log.logTargetState(instanceId, state);
     }
-    if (isOpening) this.dialDue();
+    if (!isOpening) return;
+    this.options.watcher?.onOpen(instanceId);
+    this.dialDue();
   }
 
   private addAccepting(serviceId: ServiceId, link: GateLink): void {
