--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -37,7 +37,6 @@
 import {StopLimit} from './stop_limit.js';
 import {checkAdmission} from './gate_admission.js';
 import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
-import {checkAdmission} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
--- a/packages/relay/src/gate_call.ts
+++ b/packages/relay/src/gate_call.ts
@@ -1,6 +1,5 @@
 /** Requests as a gate keeps them. */
 
-import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   Fingerprint,
   RelayFrameOf,
@@ -9,7 +8,6 @@
 import type {Job} from '@cassiaknot/routing';
 import type {Holding} from './held_memory.js';
 import type {LoggedCall} from './gate_log.js';
-import type {RefusalReason} from './outcome.js';
 import type {RelayTargetSession} from './target_session.js';
 
 /** An offer as it reached the gate. */
@@ -37,25 +35,3 @@
   isRunning: boolean;
   isSettled: boolean;
 }
-
-/** Returns why a session admits no request for a service, if so. */
-export function checkAdmission(
-  session: RelayTargetSession | undefined,
-  serviceId: ServiceId,
-  isStopping: boolean,
-): RefusalReason | undefined {
-  if (!session) return 'no-target';
-  if (session.getAnnouncement().serviceId !== serviceId) {
-    return 'wrong-service';
-  }
-  if (isStopping) return 'stopping';
-  switch (session.getState()) {
-    case 'open':
-      return undefined;
-    case 'down':
-      return 'target-down';
-    case 'draining':
-    case 'ended':
-      return 'draining';
-  }
-}
