First version of how much each target handles well

Cause: targets differ in speed and change it several times a second, but entries rank all targets of a service by figures that are seconds old, so that many requests meet at the same target. A refusal by a target was counted as a very short run, which made the target look fast.

Change: gates learn run times at the usual pace, follow the reported pace, and learn a concurrency limit. Where targets report their pace, an entry compares a small random sample, takes the less used of the two best, and lets a gate decline that is slower than others at the moment. The load model gains targets whose pace changes, that slow down with concurrency, and demand in waves.

--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -397,6 +397,9 @@
         this.localTarget.getSession()?.getLoad().waiting ?? 0,
       getRunningCount: () =>
         this.localTarget.getSession()?.getLoad().running ?? 0,
+      getTargetLimit: () => this.localTarget.getSession()?.getLimit() ?? 0,
+      getTargetPace: () =>
+        this.localTarget.getSession()?.getLearnedLoad()?.pace ?? 1,
       getDroppedLogLineCount: this.options.getDroppedLogLineCount,
     });
   }
--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -12,6 +12,10 @@
   getWaitingCount(): number;
   getRunningCount(): number;
   getDroppedLogLineCount(): number;
+  /** Requests that the target may run at a time, as learned. */
+  getTargetLimit(): number;
+  /** How long work takes at the target now; 1 as usual or if it doesn't say. */
+  getTargetPace(): number;
 }
 
 /** Upper bounds of the latency buckets, in milliseconds. */
@@ -69,6 +73,16 @@
         'Requests that the target runs',
         () => gauges.getRunningCount(),
       ],
+      [
+        'cassiaknot_target_limit',
+        'Requests that the target runs well at a time',
+        () => gauges.getTargetLimit(),
+      ],
+      [
+        'cassiaknot_target_pace',
+        'How long work takes at the target, 1 as usual',
+        () => gauges.getTargetPace(),
+      ],
       [
         'cassiaknot_log_lines_dropped',
         'Log lines left out because the output was not read',
--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -64,6 +64,11 @@
     .string()
     .transform(value => brandId<WorkspaceId>(value))
     .optional(),
+  /**
+   * Longest expected time until the response above which the entry prefers another
+   * gate; only for targets that report their pace.
+   */
+  maxFinishMs: DURATION_MS_SCHEMA.optional(),
 });
 
 /**
@@ -93,6 +98,17 @@
   transitMs: z.number().optional(),
 };
 
+/**
+ * What a gate has learned of its target; only if the target reports its pace. They
+ * stand at the end of their frames, since fields are encoded by position.
+ */
+const TARGET_FIELDS = {
+  /** How long work takes at the target now; 1 as usual, included in `runMs`. */
+  pace: z.number().positive().optional(),
+  /** Requests that the target runs well at a time. */
+  limit: z.number().int().min(0).optional(),
+};
+
 /** Complete response of the target. */
 const ANSWER_SCHEMA = z.object({
   kind: z.literal('answer'),
@@ -105,6 +121,7 @@
   ...LOAD_FIELDS,
   /** Whether the target is about to leave. */
   isTargetLeaving: z.boolean().optional(),
+  ...TARGET_FIELDS,
 });
 
 /** The target has certainly not run the request, so a retry is safe. */
@@ -115,6 +132,7 @@
   /** Whether the request reached the target and the target rejected it. */
   hasArrived: z.boolean(),
   ...LOAD_FIELDS,
+  ...TARGET_FIELDS,
 });
 
 /** No response; the target may or may not have run the request. */
@@ -123,6 +141,7 @@
   callId: CALL_ID_SCHEMA,
   reason: z.string(),
   ...LOAD_FIELDS,
+  ...TARGET_FIELDS,
 });
 
 /** State of the gate's target; sent when a link opens and on each change. */
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -2,7 +2,7 @@
 
 import type {Route, RuleId, ServiceId} from '@cassiaknot/inventory';
 import {findRoute, getRuleServiceIds} from '@cassiaknot/inventory';
-import {KeyedEwma, WeightedRoundRobin} from '@cassiaknot/routing';
+import {KeyedEwma, ServiceLoad, WeightedRoundRobin} from '@cassiaknot/routing';
 import {
   DEFAULT_MAX_ATTEMPTS,
   DEFAULT_OBJECTIVE_MS,
@@ -52,8 +52,19 @@
   /** Services whose targets have sent responses without a length, until a time. */
   private readonly unframedUntilMs = new Map<ServiceId, number>();
 
+  private readonly serviceLoads = new Map<ServiceId, ServiceLoad<RuleId>>();
+
   constructor(readonly options: RelayEntryOptions) {}
 
+  getServiceLoad(serviceId: ServiceId): ServiceLoad<RuleId> {
+    let load = this.serviceLoads.get(serviceId);
+    if (!load) {
+      load = new ServiceLoad();
+      this.serviceLoads.set(serviceId, load);
+    }
+    return load;
+  }
+
   /**
    * Whether a request may be passed on beside others of its connection: repeating it
    * is safe, and its response is not expected to close the connection.
--- a/packages/relay/src/entry_types.ts
+++ b/packages/relay/src/entry_types.ts
@@ -2,7 +2,11 @@
 
 import type {PublishedConfiguration} from '@cassiaknot/coordination';
 import type {RuleId, ServiceId, WorkspaceRecord} from '@cassiaknot/inventory';
-import type {KeyedEwma, SlidingRetryBudget} from '@cassiaknot/routing';
+import type {
+  KeyedEwma,
+  ServiceLoad,
+  SlidingRetryBudget,
+} from '@cassiaknot/routing';
 import type {GateDirectory} from './gate_directory.js';
 import type {RelayObserver} from './observer.js';
 
@@ -81,4 +85,6 @@
   readonly options: RelayEntryOptions;
   /** Mean run time of each route over all targets. */
   readonly runTimes: KeyedEwma<RuleId>;
+  /** Returns the mean load of the targets of a service. */
+  getServiceLoad(serviceId: ServiceId): ServiceLoad<RuleId>;
 }
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -99,7 +99,7 @@
       kind: 'target-state',
       serviceId: session?.getAnnouncement().serviceId ?? '',
       isAccepting: isOpen && !this.isStopping,
-      slots: session?.getLoad().slots ?? 0,
+      slots: session?.getAnnouncement().slots ?? 0,
       coldMs: session?.getWarmUpLeftMs() ?? 0,
       targetId: session?.getAnnouncement().targetId,
       startedAtMs: session?.getAnnouncement().startedAtMs,
@@ -225,12 +225,29 @@
       isSettled: false,
     };
     this.addCall(call);
+    if (this.isSlowerThanOthers(job, offer, session, nowMs)) {
+      this.settleRefusal(call, 'slow', false);
+      return;
+    }
     const result = session.scheduler.offer(job, nowMs);
     if (result.kind === 'refused') {
       this.settleRefusal(call, result.reason, false);
     }
   }
 
+  // The entry has found others of the service to be faster. Its figures are older
+  // than those of this gate, so the decision is made here.
+  private isSlowerThanOthers(
+    job: Job,
+    {maxFinishMs}: RelayFrameOf<'offer'>,
+    session: RelayTargetSession,
+    nowMs: number,
+  ): boolean {
+    if (maxFinishMs === undefined || !session.getLearnedLoad()) return false;
+    const waitMs = session.scheduler.estimateWaitMs(job, nowMs);
+    return waitMs + job.expectedRunMs > maxFinishMs;
+  }
+
   private async run(call: Call): Promise<void> {
     const {offer, session, job, controller} = call;
     call.isRunning = true;
@@ -255,12 +272,31 @@
     });
     clearTimeout(timer);
     const hasResponse = exchange.kind === 'response';
-    session.endRun(job, offer.ruleId, hasResponse);
+    this.endRun(call, exchange);
     const runMs = performance.now() - startedAtMs;
     if (hasResponse) this.options.observer.measure('target-run', runMs);
     this.settle(call, exchange);
   }
 
+  private endRun(call: Call, exchange: TargetExchange): void {
+    const {offer, session, job} = call;
+    const hasResponse = exchange.kind === 'response';
+    // A refusal takes much less time than a run, so it says nothing of run times.
+    const isRun = hasResponse && exchange.classification.kind === 'answer';
+    const pace = isRun ? this.recordPace(session, exchange.headers) : undefined;
+    const end = {hasResponse, isRun, pace};
+    this.log.logLimitDecision(session, session.endRun(job, offer.ruleId, end));
+  }
+
+  private recordPace(
+    session: RelayTargetSession,
+    headers: ResponseHeaders,
+  ): number | undefined {
+    const {pace} = this.options.headerCodec.parseTargetReport(headers);
+    if (pace !== undefined) session.recordPace(pace);
+    return pace;
+  }
+
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
     const {requestId, callerServiceId} = offer;
@@ -315,7 +351,11 @@
       case 'not-run':
         this.log.countTargetRefusal(classification);
         if (classification.isOtherInstance) session.markMisdirected();
-        else this.applyReport(session, headers);
+        else {
+          this.recordPace(session, headers);
+          this.log.logLimitDecision(session, session.recordRefusal());
+          this.applyReport(session, headers);
+        }
         this.settleRefusal(call, 'target-refused', true);
         return;
       case 'foreign':
@@ -388,7 +428,8 @@
     };
     const waitMs = session.scheduler.estimateWaitMs(candidate, nowMs);
     const runMs = session.getMeanRunMs(ruleId) ?? UNKNOWN_RUN_MS;
-    return {waitMs, runMs, transitMs};
+    const learned = session.getLearnedLoad();
+    return {waitMs, runMs, transitMs, ...learned};
   }
 
   private handleConnectFailure(
--- a/packages/relay/src/gate_call.ts
+++ b/packages/relay/src/gate_call.ts
@@ -20,7 +20,7 @@
 /** Load that a gate reports with its replies. */
 export type LoadFields = Pick<
   RelayFrameOf<'refusal'>,
-  'waitMs' | 'runMs' | 'transitMs'
+  'waitMs' | 'runMs' | 'transitMs' | 'pace' | 'limit'
 >;
 
 /** A request offered by an entry that is queued or running. */
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -68,6 +68,13 @@
   readonly atMs: number;
 }
 
+/** Pace of the target and requests that it runs well at a time. */
+interface PaceReport {
+  readonly pace: number;
+  readonly limit: number | undefined;
+  readonly atMs: number;
+}
+
 const NO_REPORT: WaitReport = {waitMs: 0, atMs: 0};
 
 /**
@@ -107,6 +114,8 @@
   private warmUpEndsAtMs = 0;
   /** Latest wait reported by the gate, by route. */
   private readonly waitReports = new Map<RuleId, WaitReport>();
+  /** Latest pace and limit of the target, if it reports its pace. */
+  private paceReport: PaceReport | undefined;
   private inFlightCount = 0;
   private failureRate = 0;
   private failureRateAtMs = 0;
@@ -216,8 +225,12 @@
       target: this,
       isSameDataCentre: this.isSameDataCentre,
       isSuspect: this.isSuspect(),
-      slots: this.targetState?.slots ?? 1,
+      slots: this.paceReport?.limit ?? this.targetState?.slots ?? 1,
       runMs: this.runTimes.get(ruleId),
+      pace: this.paceReport && {
+        pace: this.paceReport.pace,
+        ageMs: nowMs - this.paceReport.atMs,
+      },
       reportedWaitMs: report.waitMs,
       reportAgeMs: nowMs - report.atMs,
       inFlight: this.inFlightCount,
@@ -342,6 +355,11 @@
     if (runMs >= 0) this.runTimes.record(ruleId, runMs);
   }
 
+  private recordPace({pace, limit}: RelayFrameOf<'answer' | 'refusal'>): void {
+    if (pace === undefined) return;
+    this.paceReport = {pace, limit, atMs: this.lastReceivedAtMs};
+  }
+
   private recordWait(ruleId: RuleId, waitMs: number): void {
     if (this.waitReports.size >= MAX_WAIT_REPORTS) this.waitReports.clear();
     this.waitReports.set(ruleId, {waitMs, atMs: this.lastReceivedAtMs});
@@ -354,6 +372,7 @@
     if (reply.waitMs !== undefined) {
       this.recordWait(call.ruleId, reply.waitMs);
     }
+    if (reply.kind !== 'loss') this.recordPace(reply);
     this.inFlightCount = Math.max(0, this.inFlightCount - 1);
     call.settle(reply);
   }
--- a/packages/relay/src/gate_log.ts
+++ b/packages/relay/src/gate_log.ts
@@ -4,7 +4,7 @@
 import type {ResponseClassification, ResponseHead} from './header_codec.js';
 import type {RelayObserver} from './observer.js';
 import type {LossReason, RefusalReason} from './outcome.js';
-import type {RelayTargetSession} from './target_session.js';
+import type {LimitDecision, RelayTargetSession} from './target_session.js';
 
 const COMPONENT = 'gate';
 
@@ -63,6 +63,25 @@
     });
   }
 
+  /** Logs a change of the number of requests that the target runs well at a time. */
+  logLimitDecision(
+    session: RelayTargetSession,
+    decision: LimitDecision | undefined,
+  ): void {
+    if (!decision) return;
+    const {change, limit, gradient = 0, pace} = decision;
+    const {targetId, slots} = session.getAnnouncement();
+    this.observer.count('target-limit', change);
+    this.observer.log('info', COMPONENT, 'concurrency-limit', {
+      targetId,
+      reason: change,
+      limit,
+      slots,
+      gradient: Number(gradient.toFixed(2)),
+      pace: Number(pace.toFixed(2)),
+    });
+  }
+
   /** Logs that the target says in a response that it leaves. */
   logLeaving(session: RelayTargetSession): void {
     const {targetId, serviceId} = session.getAnnouncement();
--- a/packages/relay/src/header_codec.ts
+++ b/packages/relay/src/header_codec.ts
@@ -50,6 +50,8 @@
   /** Requests per second that it takes from all entries together, if limited. */
   readonly limitPerSecond: number | undefined;
   readonly isLeaving: boolean;
+  /** How long work takes there now, 1 as usual; undefined if it doesn't say. */
+  readonly pace?: number | undefined;
 }
 
 /** Reads and writes the headers of callers and targets. */
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -36,6 +36,8 @@
   | 'withdrawn'
   | 'target-refusal'
   | 'target-report'
+  /** A change of the number of requests that the target runs well at a time. */
+  | 'target-limit'
   | 'announcement';
 
 /** Stages whose latency is measured. */
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -9,6 +9,8 @@
   | 'version-behind'
   | 'no-target'
   | 'overloaded'
+  /** Slower at the moment than the entry expects of other targets. */
+  | 'slow'
   | 'deadline'
   | 'closed'
   | 'draining'
@@ -63,6 +65,7 @@
 const GATE_REFUSAL_REASONS: readonly RefusalReason[] = [
   'no-target',
   'overloaded',
+  'slow',
   'deadline',
   'closed',
   'draining',
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -9,7 +9,9 @@
 import {
   DEFAULT_RUN_TIME_SHARE,
   MIN_RUN_TIME_SHARE,
+  chooseOfTwo,
   rankTargets,
+  sampleTargets,
 } from '@cassiaknot/routing';
 import {
   BOUNDED_WAIT_SHARE,
@@ -48,6 +50,13 @@
 /** Shares of the retry budget available to retries after a loss or a failure. */
 const LOSS_RETRY_SHARE = 0.5;
 const FAILURE_RETRY_SHARE = 0.25;
+/**
+ * A gate may decline an offer if its target is expected to take longer than both
+ * this multiple of the mean of the service and this share of the time left.
+ * Tighter values cost more offers than they save late requests.
+ */
+const ACCEPTED_FINISH_FACTOR = 1.5;
+const ACCEPTED_FINISH_SHARE = 0.5;
 /** Lowest status code of a server error. */
 const MIN_SERVER_ERROR_STATUS = 500;
 const GATEWAY_TIMEOUT_STATUS = 504;
@@ -188,12 +197,23 @@
     if (this.offerCount < MAX_BOUNDED_OFFERS) {
       const accepting = entry.options.directory.findAccepting(plan.serviceId);
       this.acceptingGateCount = accepting.length;
-      const estimates = accepting
-        .filter(link => !this.excludedGates.has(link))
+      const load = entry.getServiceLoad(plan.serviceId);
+      const meanPace = load.getMeanPace();
+      const isPaced = meanPace !== undefined;
+      const {random} = entry.options;
+      const untried = accepting.filter(link => !this.excludedGates.has(link));
+      const compared = isPaced ? sampleTargets(untried, random) : untried;
+      const estimates = compared
         .map(link => link.estimate(plan.ruleId))
         .filter(estimate => !this.skipIfOverloaded(estimate));
       const {objectiveMs} = plan;
-      const [best] = rankTargets(estimates, {meanRunMs, objectiveMs});
+      const ranked = rankTargets(estimates, {
+        meanRunMs,
+        objectiveMs,
+        meanPace,
+        meanWaitMs: load.getMeanWaitMs(),
+      });
+      const best = isPaced ? chooseOfTwo(ranked) : ranked[0];
       if (best) {
         // A sole candidate may queue the request until its deadline.
         const maxWaitMs =
@@ -267,6 +287,7 @@
       callerServiceId: entry.options.getCallerServiceId(),
       remainingMs: Math.max(0, this.getRemainingMs()),
       maxWaitMs,
+      maxFinishMs: this.getMaxFinishMs(),
       objectiveMs: plan.objectiveMs,
       objectiveLeftMs:
         request.receivedAtMs + plan.objectiveMs - performance.now(),
@@ -283,6 +304,22 @@
     return reply;
   }
 
+  // Offers after the last bounded one go to a target for lack of a better one.
+  private getMaxFinishMs(): number | undefined {
+    const {plan, entry, request} = this;
+    if (this.offerCount >= MAX_BOUNDED_OFFERS) return undefined;
+    const meanMs = entry
+      .getServiceLoad(plan.serviceId)
+      .getMeanFinishMs(plan.ruleId);
+    if (meanMs === undefined) return undefined;
+    const objectiveLeftMs =
+      request.receivedAtMs + plan.objectiveMs - performance.now();
+    return Math.max(
+      ACCEPTED_FINISH_FACTOR * meanMs,
+      ACCEPTED_FINISH_SHARE * objectiveLeftMs,
+    );
+  }
+
   /** Returns the outcome, or undefined if the next gate should be tried. */
   private handleReply(
     link: GateLink,
@@ -315,11 +352,24 @@
     const {statusCode, headers, body, isFramed, runMs} = reply;
     const {ruleId} = this.plan;
     link.recordOutcome(statusCode >= MIN_SERVER_ERROR_STATUS);
-    link.recordRunTime(ruleId, runMs);
+    const {pace = 1} = reply;
+    link.recordRunTime(ruleId, runMs / pace);
+    this.recordLoad(reply);
     if (runMs >= 0) this.entry.runTimes.record(ruleId, runMs);
     return {kind: 'answered', statusCode, headers, body, isFramed};
   }
 
+  private recordLoad({
+    waitMs,
+    runMs,
+    pace,
+  }: RelayFrameOf<'answer' | 'refusal'>): void {
+    if (pace === undefined) return;
+    const {ruleId, serviceId} = this.plan;
+    const load = this.entry.getServiceLoad(serviceId);
+    load.record(ruleId, {waitMs, runMs, pace});
+  }
+
   private handleRefusal(
     link: GateLink,
     reply: RelayFrameOf<'refusal'>,
@@ -327,9 +377,12 @@
     const reason = toRefusalReason(reply.reason);
     this.lastRefusal = reason;
     if (reason === 'quarantined') return this.getRefusalOutcome();
+    this.recordLoad(reply);
     const finishMs = reply.waitMs + Math.max(0, reply.runMs);
-    if (reason === 'overloaded' && finishMs <= this.getRemainingMs()) {
-      this.overloadedGates.set(link, reply.waitMs);
+    const isForLoad = reason === 'overloaded' || reason === 'slow';
+    if (isForLoad && finishMs <= this.getRemainingMs()) {
+      const isPaced = reply.pace !== undefined;
+      this.overloadedGates.set(link, isPaced ? finishMs : reply.waitMs);
     }
     if (!reply.hasArrived) return undefined;
     // The target itself refused the request, so this attempt is an arrival.
@@ -387,7 +440,8 @@
       return newRefusal(reason, MIN_RETRY_AFTER_MS * 2 * jitter);
     }
     if (reason === 'quarantined') return newRefusal(reason, QUARANTINE_TTL_MS);
-    if (reason !== 'overloaded') return newRefusal(reason, RETRY_AFTER_MS);
+    if (reason !== 'overloaded' && reason !== 'slow')
+      return newRefusal(reason, RETRY_AFTER_MS);
     let waitMs = Infinity;
     for (const link of this.excludedGates) {
       waitMs = Math.min(waitMs, link.estimate(this.plan.ruleId).reportedWaitMs);
--- a/packages/relay/src/target_announcement.ts
+++ b/packages/relay/src/target_announcement.ts
@@ -16,6 +16,8 @@
   readonly sequence: number;
   /** Wall-clock start time of the target; undefined if not announced. */
   readonly startedAtMs: number | undefined;
+  /** How long work takes now, 1 as usual; undefined if the target didn't say. */
+  readonly pace?: number | undefined;
 }
 
 /** Identifies one start of one target. */
--- a/packages/relay/src/target_session.ts
+++ b/packages/relay/src/target_session.ts
@@ -1,10 +1,12 @@
 /** Slots, queue and runs of the local target, from one start to the next. */
 
 import type {RuleId} from '@cassiaknot/inventory';
-import type {Job, SchedulerLoad} from '@cassiaknot/routing';
+import type {Job, LimitChange, SchedulerLoad} from '@cassiaknot/routing';
 import {
+  ConcurrencyLimit,
   DEFAULT_RUN_TIME_SHARE,
   KeyedEwma,
+  PaceEstimate,
   SlotScheduler,
   WARM_UP_RUN_TIME_FACTOR,
 } from '@cassiaknot/routing';
@@ -19,6 +21,33 @@
 interface Run {
   readonly controller: AbortController;
   readonly startedAtMs: number;
+  /** Number of requests at the target when the run started, including this one. */
+  readonly concurrency: number;
+}
+
+/** How a run ended. */
+export interface RunEnd {
+  readonly hasResponse: boolean;
+  /** Whether the response answers the request, rather than refusing it. */
+  readonly isRun: boolean;
+  /** Pace that the target reported with the response. */
+  readonly pace?: number | undefined;
+}
+
+/** Change of the concurrency limit, with what decided it. */
+export interface LimitDecision {
+  readonly change: LimitChange;
+  readonly limit: number;
+  readonly gradient: number | undefined;
+  readonly pace: number;
+}
+
+/** What a target that reports its pace has been found to do. */
+export interface LearnedLoad {
+  /** How long work takes now, 1 as usual. */
+  readonly pace: number;
+  /** Requests that the target runs well at a time. */
+  readonly limit: number;
 }
 
 /**
@@ -31,7 +60,10 @@
 export class RelayTargetSession {
   readonly scheduler: SlotScheduler;
   private state: SessionState = 'open';
+  /** Run times by route, at the usual pace if the target reports its pace. */
   private readonly runTimes = new KeyedEwma<RuleId>();
+  private readonly pace = new PaceEstimate();
+  private readonly limit: ConcurrencyLimit;
   private readonly runs = new Map<Job, Run>();
   private warmUpEndsAtMs: number;
   private foreignResponseExpiresAtMs = 0;
@@ -46,6 +78,10 @@
   ) {
     const nowMs = performance.now();
     this.scheduler = new SlotScheduler(announcement.slots);
+    this.limit = new ConcurrencyLimit(announcement.slots);
+    if (announcement.pace !== undefined) {
+      this.pace.record(announcement.pace, nowMs);
+    }
     this.warmUpEndsAtMs = nowMs + announcement.coldMs;
     this.lastProgressAtMs = nowMs;
   }
@@ -63,7 +99,8 @@
     const nowMs = performance.now();
     this.announcement = announcement;
     this.warmUpEndsAtMs = nowMs + announcement.coldMs;
-    this.scheduler.setSlots(announcement.slots, nowMs);
+    this.limit.setSlots(announcement.slots);
+    this.scheduler.setSlots(this.getUsableSlots(), nowMs);
   }
 
   /** Returns the warm-up time left, during which the target runs more slowly. */
@@ -75,12 +112,39 @@
   estimateRunMs(ruleId: RuleId, objectiveMs: number): number {
     const factor = this.getWarmUpLeftMs() > 0 ? WARM_UP_RUN_TIME_FACTOR : 1;
     const known = this.runTimes.get(ruleId);
-    return (known ?? objectiveMs * DEFAULT_RUN_TIME_SHARE) * factor;
+    const usualMs = known ?? objectiveMs * DEFAULT_RUN_TIME_SHARE;
+    // The reported pace may include the warm-up.
+    return usualMs * Math.max(factor, this.pace.get(performance.now()));
   }
 
-  /** Returns the mean run time of a route, if it has run here. */
+  /** Returns the expected run time of a route after warm-up, if it has run here. */
   getMeanRunMs(ruleId: RuleId): number | undefined {
-    return this.runTimes.get(ruleId);
+    const usualMs = this.runTimes.get(ruleId);
+    if (usualMs === undefined) return undefined;
+    return usualMs * this.pace.get(performance.now());
+  }
+
+  /** Returns the number of requests that the target may run at a time. */
+  getLimit(): number {
+    return this.getUsableSlots();
+  }
+
+  /** Returns what was learned; undefined unless the target reports its pace. */
+  getLearnedLoad(): LearnedLoad | undefined {
+    if (!this.pace.isKnown()) return undefined;
+    const pace = this.pace.get(performance.now());
+    return {pace, limit: this.limit.get()};
+  }
+
+  /** Records the pace that the target reports with a response. */
+  recordPace(pace: number): void {
+    this.pace.record(pace, performance.now());
+  }
+
+  /** Records that the target has refused a request; returns a change of its limit. */
+  recordRefusal(): LimitDecision | undefined {
+    if (!this.pace.isKnown()) return undefined;
+    return this.applyLimit(this.limit.recordRefusal(performance.now()));
   }
 
   getLoad(): SchedulerLoad {
@@ -96,22 +160,69 @@
   beginRun(job: Job, controller: AbortController): void {
     const startedAtMs = performance.now();
     if (this.runs.size === 0) this.lastProgressAtMs = startedAtMs;
-    this.runs.set(job, {controller, startedAtMs});
+    const concurrency = this.runs.size + 1;
+    this.runs.set(job, {controller, startedAtMs, concurrency});
   }
 
-  /** Records the end of a run and releases its slot. */
-  endRun(job: Job, ruleId: RuleId, hasResponse: boolean): void {
+  /**
+   * Records the end of a run and releases its slot; returns a change of the limit.
+   */
+  endRun(
+    job: Job,
+    ruleId: RuleId,
+    {hasResponse, isRun, pace}: RunEnd,
+  ): LimitDecision | undefined {
     const nowMs = performance.now();
     const run = this.runs.get(job);
     this.runs.delete(job);
+    let decision: LimitDecision | undefined;
     if (hasResponse && run) {
       this.lastProgressAtMs = nowMs;
       // Runs during warm-up would inflate the mean long after it has ended.
-      if (this.getWarmUpLeftMs() === 0) {
-        this.runTimes.record(ruleId, nowMs - run.startedAtMs);
+      if (isRun && this.getWarmUpLeftMs() === 0) {
+        decision = this.recordRun(run, ruleId, nowMs, pace);
       }
     }
     this.scheduler.finish(job, nowMs);
+    return decision;
+  }
+
+  private recordRun(
+    run: Run,
+    ruleId: RuleId,
+    nowMs: number,
+    reportedPace: number | undefined,
+  ): LimitDecision | undefined {
+    const runMs = nowMs - run.startedAtMs;
+    if (reportedPace === undefined) {
+      this.runTimes.record(ruleId, runMs / this.pace.get(nowMs));
+      return undefined;
+    }
+    const usualMs = this.runTimes.get(ruleId);
+    this.runTimes.record(ruleId, runMs / reportedPace);
+    if (usualMs === undefined || usualMs <= 0) return undefined;
+    const runRatio = runMs / reportedPace / usualMs;
+    return this.applyLimit(
+      this.limit.recordRun(runRatio, run.concurrency, nowMs),
+    );
+  }
+
+  private applyLimit(
+    change: LimitChange | undefined,
+  ): LimitDecision | undefined {
+    if (!change) return undefined;
+    const nowMs = performance.now();
+    this.scheduler.setSlots(this.getUsableSlots(), nowMs);
+    return {
+      change,
+      limit: this.limit.get(),
+      gradient: this.limit.getGradient(),
+      pace: this.pace.get(nowMs),
+    };
+  }
+
+  private getUsableSlots(): number {
+    return this.pace.isKnown() ? this.limit.get() : this.announcement.slots;
   }
 
   /** Records a response that was not known to answer its request. */
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -17,6 +17,12 @@
 export const MIN_RUN_TIME_SHARE = 0.4;
 /** Factor on run times during the warm-up of a target. */
 export const WARM_UP_RUN_TIME_FACTOR = 2;
+/**
+ * Penalty for a target in another data centre if targets report their pace. With
+ * 0.3, 2 to 4 in 100 requests more are late in the load model while demand moves
+ * between data centres.
+ */
+export const PACED_REMOTE_PENALTY_SHARE = 0.15;
 /** Penalty at a failure rate of 1, as a multiple of the latency objective. */
 export const FAILURE_PENALTY_FACTOR = 2;
 /** Factor on the expected run time that covers most of the spread of runs. */
@@ -35,3 +41,7 @@
 export const MIN_STARTS_PER_SECOND = 0.5;
 /** Share of the mean run time of running jobs below which a job is short. */
 export const SHORT_RUN_SHARE = 0.5;
+/** Time over which reports of a pace are averaged. */
+export const PACE_SMOOTHING_MS = 100;
+/** Half-life of the difference between a reported pace and the mean. */
+export const PACE_HALF_LIFE_MS = 300;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,8 +1,12 @@
 /** Load policies: pure logic without network access or a clock. */
 
+export * from './concurrency_limit.js';
 export * from './constants.js';
 export * from './ewma.js';
+export * from './pace.js';
+export * from './service_load.js';
 export * from './slot_scheduler.js';
+export * from './target_choice.js';
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
 export * from './weighted_round_robin.js';
--- a/packages/routing/src/target_ranking.ts
+++ b/packages/routing/src/target_ranking.ts
@@ -3,11 +3,19 @@
 import {
   FAILURE_PENALTY_FACTOR,
   LATE_LOCAL_PENALTY_SHARE,
+  PACED_REMOTE_PENALTY_SHARE,
   REMOTE_PENALTY_SHARE,
   RUN_SPREAD_FACTOR,
   WAIT_REPORT_HALF_LIFE_MS,
   WARM_UP_RUN_TIME_FACTOR,
 } from './constants.js';
+import {agePace} from './pace.js';
+
+/** Pace of a target as last reported. */
+export interface PaceReport {
+  readonly pace: number;
+  readonly ageMs: number;
+}
 
 /** Load estimate of one target, as seen by an entry. */
 export interface TargetEstimate<T> {
@@ -17,8 +25,13 @@
   /** Whether the link to the target has an overdue ping. */
   readonly isSuspect: boolean;
   readonly slots: number;
-  /** Expected run time; undefined if the target has not run this route yet. */
+  /**
+   * Expected run time, at the usual pace if the target reports its pace; undefined
+   * if the target has not run this route yet.
+   */
   readonly runMs: number | undefined;
+  /** Latest pace of the target; undefined if it reports none. */
+  readonly pace?: PaceReport | undefined;
   /** Latest wait reported by the target. */
   readonly reportedWaitMs: number;
   /** Age of that report. */
@@ -35,6 +48,9 @@
   /** Run time assumed for targets that have not run the route yet. */
   readonly meanRunMs: number;
   readonly objectiveMs: number;
+  /** Mean of the service, if its targets report their pace. */
+  readonly meanPace?: number | undefined;
+  readonly meanWaitMs?: number | undefined;
 }
 
 /** Estimates the time until a request would finish at a target. */
@@ -45,7 +61,9 @@
   const runMs = estimateRunMs(estimate, context);
   const decay = Math.pow(0.5, estimate.reportAgeMs / WAIT_REPORT_HALF_LIFE_MS);
   const inFlightMs = (estimate.inFlight * runMs) / Math.max(1, estimate.slots);
-  return runMs + estimate.reportedWaitMs * decay + inFlightMs;
+  const meanWaitMs = context.meanWaitMs ?? 0;
+  const waitMs = meanWaitMs + decay * (estimate.reportedWaitMs - meanWaitMs);
+  return runMs + waitMs + inFlightMs;
 }
 
 /**
@@ -79,8 +97,20 @@
   estimate: TargetEstimate<T>,
   context: RankingContext,
 ): number {
-  const runMs = estimate.runMs ?? context.meanRunMs;
-  return estimate.isWarmingUp ? WARM_UP_RUN_TIME_FACTOR * runMs : runMs;
+  const {runMs, isWarmingUp} = estimate;
+  const warmUpFactor = isWarmingUp ? WARM_UP_RUN_TIME_FACTOR : 1;
+  if (runMs === undefined) return warmUpFactor * context.meanRunMs;
+  // The reported pace may include the warm-up.
+  return runMs * Math.max(warmUpFactor, estimatePace(estimate, context));
+}
+
+// An old report says little of a pace that changes many times a second.
+function estimatePace<T>(
+  {pace: report}: TargetEstimate<T>,
+  {meanPace}: RankingContext,
+): number {
+  if (!report) return 1;
+  return agePace(report.pace, meanPace ?? report.pace, report.ageMs);
 }
 
 // Penalty for the location of a target, as a share of the objective.
@@ -88,7 +118,11 @@
   estimate: TargetEstimate<T>,
   context: RankingContext,
 ): number {
-  if (!estimate.isSameDataCentre) return REMOTE_PENALTY_SHARE;
+  if (!estimate.isSameDataCentre) {
+    return context.meanPace === undefined
+      ? REMOTE_PENALTY_SHARE
+      : PACED_REMOTE_PENALTY_SHARE;
+  }
   const spreadMs = (RUN_SPREAD_FACTOR - 1) * estimateRunMs(estimate, context);
   const meetsObjective =
     estimateFinishMs(estimate, context) + spreadMs <= context.objectiveMs;
--- a/packages/routing/src/testing/sample_run_time.ts
+++ b/packages/routing/src/testing/sample_run_time.ts
@@ -4,8 +4,12 @@
 const LOG_SIGMA = 0.5;
 
 /** Draws a log-normal run time with the given mean. */
-export function sampleRunMs(meanMs: number, random: () => number): number {
+export function sampleRunMs(
+  meanMs: number,
+  random: () => number,
+  logSigma = LOG_SIGMA,
+): number {
   const radius = Math.sqrt(-2 * Math.log(1 - random()));
   const normal = radius * Math.cos(2 * Math.PI * random());
-  return meanMs * Math.exp(LOG_SIGMA * normal - LOG_SIGMA ** 2 / 2);
+  return meanMs * Math.exp(logSigma * normal - logSigma ** 2 / 2);
 }
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -52,6 +52,11 @@
   measure: () => undefined,
 };
 
+/** A request on its way to a first target. */
+interface UnarrivedRequest {
+  reachedAtMs: number | undefined;
+}
+
 /** One simulation run. */
 export class LoadModel {
   private readonly countsByKind = new Map<string, RequestCounts>();
@@ -61,6 +66,10 @@
   private readonly answeringGates = new Map<string, string>();
   private readonly random: SeededRandom;
   private requestCount = 0;
+  /** When a caller first sent each request that has not reached a target yet. */
+  private readonly unarrived = new Map<string, UnarrivedRequest>();
+  private readonly arrivalsByTarget = new Map<TargetSpec, number>();
+  private startedAtMs = 0;
 
   constructor(
     private readonly scenario: LoadScenario,
@@ -78,6 +87,7 @@
         retryBudget: new SlidingRetryBudget(RETRY_BUDGET),
         random: () => this.random.next(),
         observer: {...OBSERVER, log: this.recordAnsweringGate.bind(this)},
+        recordArrival: this.recordArrival.bind(this),
         findKind: path => this.findKind(path.split('/')[1] ?? ''),
         findGate: address => this.findGate(target, address),
         call: this.handleDownstreamCall.bind(this),
@@ -96,6 +106,7 @@
     }
     await this.clock.tickAsync(LINK_SETUP_MS);
     const startedAtMs = performance.now();
+    this.startedAtMs = startedAtMs;
     for (const kind of this.scenario.kinds) {
       this.countsByKind.set(kind.name, newRequestCounts());
       if (kind.perSecond > 0) this.scheduleArrival(kind, startedAtMs);
@@ -107,6 +118,32 @@
     return this.countsByKind;
   }
 
+  /** Returns the ratio of the busiest target to the mean, by service. */
+  getImbalance(): ReadonlyMap<string, number> {
+    const arrivals = new Map<string, number[]>();
+    for (const target of this.scenario.targets) {
+      const counts = arrivals.get(target.serviceId) ?? [];
+      counts.push(this.arrivalsByTarget.get(target) ?? 0);
+      arrivals.set(target.serviceId, counts);
+    }
+    const ratios = new Map<string, number>();
+    for (const [serviceId, counts] of arrivals) {
+      const sum = counts.reduce((total, count) => total + count, 0);
+      ratios.set(serviceId, (Math.max(...counts) * counts.length) / sum);
+    }
+    return ratios;
+  }
+
+  private recordArrival(target: TargetSpec, path: string): void {
+    const count = this.arrivalsByTarget.get(target) ?? 0;
+    this.arrivalsByTarget.set(target, count + 1);
+    const requestId = path.split('/')[2] ?? '';
+    const request = this.unarrived.get(requestId);
+    if (!request) return;
+    this.unarrived.delete(requestId);
+    request.reachedAtMs = performance.now();
+  }
+
   private scheduleArrival(kind: RequestKind, startedAtMs: number): void {
     const elapsedMs = performance.now() - startedAtMs;
     if (elapsedMs >= this.scenario.lengthMs) return;
@@ -129,13 +166,13 @@
   }
 
   private async handleArrival(kind: RequestKind): Promise<void> {
-    const index = Math.floor(this.random.next() * this.instances.length);
-    const instance = this.instances[index];
+    const instance = this.chooseInstance();
     if (!instance) return;
     this.getCounts(kind).offered += 1;
     const arrivedAtMs = performance.now();
+    const progress: UnarrivedRequest = {reachedAtMs: undefined};
     const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
-    let outcome = await this.send(instance, kind, kind.deadlineMs);
+    let outcome = await this.send(instance, kind, kind.deadlineMs, progress);
     if (outcome.kind === 'refused') {
       const remainingMs = deadlineAtMs - performance.now();
       const retryDelayMs = Math.min(
@@ -144,11 +181,31 @@
       );
       await new Promise(resolve => setTimeout(resolve, retryDelayMs));
       const retryDeadlineMs = deadlineAtMs - performance.now();
-      outcome = await this.send(instance, kind, retryDeadlineMs);
+      outcome = await this.send(instance, kind, retryDeadlineMs, progress);
+    }
+    const reachedAtMs = progress.reachedAtMs ?? Infinity;
+    if (reachedAtMs - arrivedAtMs > kind.objectiveMs / 2) {
+      this.getCounts(kind).slowToTarget += 1;
     }
     this.recordOutcome(kind, outcome, performance.now() - arrivedAtMs);
   }
 
+  // The demand of each data centre follows a sine around its share of the instances.
+  private chooseInstance(): ModelledInstance | undefined {
+    const {wave} = this.scenario;
+    const {instances, random} = this;
+    for (;;) {
+      const instance = instances[Math.floor(random.next() * instances.length)];
+      if (!wave || !instance) return instance;
+      const ids = [...new Set(this.dataCentreByInstance.values())];
+      const index = ids.indexOf(instance.target.dataCentreId);
+      const elapsedMs = performance.now() - this.startedAtMs;
+      const turns = elapsedMs / wave.periodMs + index / ids.length;
+      const demand = 1 + wave.share * Math.sin(2 * Math.PI * turns);
+      if (random.next() * (1 + wave.share) < demand) return instance;
+    }
+  }
+
   private async handleDownstreamCall(
     target: TargetSpec,
     call: DownstreamCall,
@@ -159,7 +216,12 @@
     this.getCounts(kind).offered += 1;
     const startedAtMs = performance.now();
     const timeoutMs = Math.min(remainingMs, kind.deadlineMs);
-    const outcome = await this.send(instance, kind, timeoutMs);
+    const progress: UnarrivedRequest = {reachedAtMs: undefined};
+    const outcome = await this.send(instance, kind, timeoutMs, progress);
+    const reachedAtMs = progress.reachedAtMs ?? Infinity;
+    if (reachedAtMs - startedAtMs > kind.objectiveMs / 2) {
+      this.getCounts(kind).slowToTarget += 1;
+    }
     this.recordOutcome(kind, outcome, performance.now() - startedAtMs);
     return isSuccess(outcome);
   }
@@ -168,9 +230,13 @@
     instance: ModelledInstance,
     kind: RequestKind,
     timeoutMs: number,
+    progress: UnarrivedRequest,
   ): Promise<RelayOutcome> {
     this.requestCount += 1;
     const requestId = String(this.requestCount);
+    if (progress.reachedAtMs === undefined) {
+      this.unarrived.set(requestId, progress);
+    }
     const request: CallerRequest = {
       requestId,
       method: kind.isIdempotent ? 'GET' : 'POST',
@@ -184,6 +250,8 @@
       serveUntilMs: Infinity,
     };
     const outcome = await instance.entry.handle(request);
+    this.unarrived.delete(requestId);
+    if (outcome.kind === 'refused') this.getCounts(kind).refusedAttempts += 1;
     const gate = this.answeringGates.get(requestId) ?? '';
     this.answeringGates.delete(requestId);
     const isRemote =
@@ -205,8 +273,12 @@
   }
 
   private recordAnsweringGate(
-    ...[, , event, fields]: Parameters<RelayObserver['log']>
+    ...[, component, event, fields]: Parameters<RelayObserver['log']>
   ): void {
+    if (component === 'gate' && event === 'refused') {
+      const kind = this.findKind(String(fields['ruleId']));
+      this.getCounts(kind).refusedOffers += 1;
+    }
     if (event !== 'answered') return;
     this.answeringGates.set(
       String(fields['requestId']),
@@ -252,7 +324,17 @@
 }
 
 function newRequestCounts(): RequestCounts {
-  return {offered: 0, inTime: 0, late: 0, refused: 0, failed: 0, remote: 0};
+  return {
+    offered: 0,
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    failed: 0,
+    remote: 0,
+    refusedAttempts: 0,
+    slowToTarget: 0,
+    refusedOffers: 0,
+  };
 }
 
 function toMember(target: TargetSpec): MemberRecord {
--- a/packages/test-support/src/load_model/modelled_instance.ts
+++ b/packages/test-support/src/load_model/modelled_instance.ts
@@ -13,7 +13,7 @@
   openLocalLink,
 } from '@cassiaknot/relay';
 import type {SlidingRetryBudget} from '@cassiaknot/routing';
-import {ModelledTarget} from './modelled_target.js';
+import {ModelledTarget, PACE_HEADER} from './modelled_target.js';
 import type {TargetEnvironment} from './modelled_target.js';
 import type {TargetSpec} from './types.js';
 
@@ -37,7 +37,11 @@
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: () => ({requestId: '', timeoutMs: undefined}),
   formatTargetHeaders: () => [],
-  parseTargetReport: () => ({limitPerSecond: undefined, isLeaving: false}),
+  parseTargetReport: ({[PACE_HEADER]: pace}) => ({
+    limitPerSecond: undefined,
+    isLeaving: false,
+    pace: pace === undefined ? undefined : Number(pace),
+  }),
   classifyResponse: () => ({kind: 'answer'}),
 };
 
--- a/packages/test-support/src/load_model/modelled_target.ts
+++ b/packages/test-support/src/load_model/modelled_target.ts
@@ -6,13 +6,22 @@
   TargetRequest,
 } from '@cassiaknot/relay';
 import {sampleRunMs} from '@cassiaknot/routing/testing';
-import type {DownstreamCall, RequestKind, TargetSpec} from './types.js';
+import type {
+  DownstreamCall,
+  PaceSpec,
+  RequestKind,
+  TargetSpec,
+} from './types.js';
 
 const FAILURE_STATUS = 500;
 const EMPTY_BODY = new Uint8Array();
+/** Response header with the pace of the target, 1 as usual. */
+export const PACE_HEADER = 'pace';
 
 /** The parts of the load model that a target uses. */
 export interface TargetEnvironment {
+  /** Called when a request reaches the target. */
+  readonly recordArrival: (target: TargetSpec, path: string) => void;
   readonly random: () => number;
   readonly findKind: (path: string) => RequestKind;
   /** Makes a downstream call; resolves to whether it succeeded. */
@@ -25,12 +34,32 @@
 
 /** Runs requests on the simulated clock. */
 export class ModelledTarget implements RelayTargetClient {
+  private pace = 1;
+  private runningCount = 0;
+
   constructor(
     private readonly target: TargetSpec,
     private readonly environment: TargetEnvironment,
-  ) {}
+  ) {
+    if (target.pace) this.changePace(target.pace);
+  }
 
   async send(request: TargetRequest): Promise<TargetExchange> {
+    this.environment.recordArrival(this.target, request.path);
+    this.runningCount += 1;
+    const exchange = await this.run(request);
+    this.runningCount -= 1;
+    return exchange;
+  }
+
+  private changePace(spec: PaceSpec): void {
+    const {random} = this.environment;
+    this.pace = sampleRunMs(1, random, spec.logSigma);
+    const intervalMs = -Math.log(1 - random()) * spec.meanIntervalMs;
+    setTimeout(() => this.changePace(spec), intervalMs);
+  }
+
+  private async run(request: TargetRequest): Promise<TargetExchange> {
     const kind = this.environment.findKind(request.path);
     const deadlineAtMs = performance.now() + kind.deadlineMs;
     const isCompleted = await this.simulateWork(kind, request.signal);
@@ -38,13 +67,19 @@
     const hasSucceeded = await this.makeDownstreamCalls(kind, deadlineAtMs);
     const head = {
       statusCode: hasSucceeded ? 200 : FAILURE_STATUS,
-      headers: {'content-length': '0'},
+      headers: this.getHeaders(),
       precedingResponseCount: 0,
     };
     const classification = request.classify(head);
     return {kind: 'response', ...head, classification, body: EMPTY_BODY};
   }
 
+  private getHeaders(): Record<string, string> {
+    const headers = {'content-length': '0'};
+    if (!this.target.pace) return headers;
+    return {...headers, [PACE_HEADER]: String(this.pace)};
+  }
+
   probe(): Promise<boolean> {
     return Promise.resolve(true);
   }
@@ -62,8 +97,13 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const {random} = this.environment;
+    const {slowdownFactor, knee, slowdownPerRun} = this.target;
+    const excess = Math.max(0, this.runningCount - knee);
     const workMs =
-      this.target.slowdownFactor * sampleRunMs(kind.meanWorkMs, random);
+      slowdownFactor *
+      this.pace *
+      (excess > 0 ? 1 + slowdownPerRun * excess : 1) *
+      sampleRunMs(kind.meanWorkMs, random);
     return new Promise(resolve => {
       const timer = setTimeout(() => resolve(true), workMs);
       const handleAbort = () => {
--- a/packages/test-support/src/load_model/scenario.ts
+++ b/packages/test-support/src/load_model/scenario.ts
@@ -6,9 +6,11 @@
 import {z} from 'zod';
 import type {
   LoadBurst,
+  LoadWave,
   DownstreamCall,
   RequestKind,
   LoadScenario,
+  PaceSpec,
   TargetSpec,
 } from './types.js';
 
@@ -21,6 +23,9 @@
     one_way_ms: NON_NEGATIVE_SCHEMA,
     // Comma-separated `from until factor`, with times in milliseconds.
     bursts: z.string().default(''),
+    // Demand of each data centre follows a sine with this period and amplitude.
+    wave_period_ms: NON_NEGATIVE_SCHEMA.default(0),
+    wave_share: NON_NEGATIVE_SCHEMA.max(1).default(0),
   }),
   service: z.record(
     z.string(),
@@ -30,6 +35,13 @@
       data_centres: WORD_LIST_SCHEMA,
       // Multiplier on the run times of each target; above 1 is slower, 1 if absent.
       speeds: WORD_LIST_SCHEMA,
+      // Standard deviation of the logarithm of the pace, and the mean time
+      // between its changes; targets report a pace only if both are given.
+      pace_log_sigma: NON_NEGATIVE_SCHEMA.default(0),
+      pace_interval_ms: NON_NEGATIVE_SCHEMA.default(0),
+      // Each run above the knee slows all down by a share.
+      knee: NON_NEGATIVE_SCHEMA.default(Infinity),
+      slowdown_per_run: NON_NEGATIVE_SCHEMA.default(0),
     }),
   ),
   kind: z.record(
@@ -57,6 +69,7 @@
     lengthMs: fields.play.length_ms,
     oneWayDelayMs: fields.play.one_way_ms,
     bursts: parseTuples(fields.play.bursts).map(toLoadBurst),
+    wave: toLoadWave(fields.play),
     targets: toTargets(fields.service),
     kinds: Object.entries(fields.kind).map(([name, kind]) =>
       toRequestKind(name, kind),
@@ -77,6 +90,20 @@
   };
 }
 
+function toLoadWave({
+  wave_period_ms: periodMs,
+  wave_share: share,
+}: ScenarioSettings['play']): LoadWave | undefined {
+  return periodMs > 0 ? {periodMs, share} : undefined;
+}
+
+function toPaceSpec(
+  service: ScenarioSettings['service'][string],
+): PaceSpec | undefined {
+  const {pace_log_sigma: logSigma, pace_interval_ms: meanIntervalMs} = service;
+  return meanIntervalMs > 0 ? {logSigma, meanIntervalMs} : undefined;
+}
+
 function toDownstreamCall([
   kindName = '',
   probability,
@@ -111,6 +138,9 @@
         serviceId: brandId<ServiceId>(serviceName),
         slots: service.slots,
         slowdownFactor: Number(service.speeds[index] ?? 1),
+        pace: toPaceSpec(service),
+        knee: service.knee,
+        slowdownPerRun: service.slowdown_per_run,
       });
     }
   }
--- a/packages/test-support/src/load_model/types.ts
+++ b/packages/test-support/src/load_model/types.ts
@@ -32,6 +32,20 @@
   readonly slots: number;
   /** Multiplier on the run time of each request; above 1 is slower. */
   readonly slowdownFactor: number;
+  /** How the speed changes; undefined if it doesn't, and no pace is reported. */
+  readonly pace: PaceSpec | undefined;
+  /** Running requests from which on each further one slows all down. */
+  readonly knee: number;
+  /** Slowdown by each request above the knee, as a share of the run time. */
+  readonly slowdownPerRun: number;
+}
+
+/** Changes of the speed of a target, which reports them. */
+export interface PaceSpec {
+  /** Standard deviation of the logarithm of the pace. */
+  readonly logSigma: number;
+  /** Mean time between two changes. */
+  readonly meanIntervalMs: number;
 }
 
 /**
@@ -53,6 +67,18 @@
   readonly targets: readonly TargetSpec[];
   readonly kinds: readonly RequestKind[];
   readonly bursts: readonly LoadBurst[];
+  /** Uneven demand between data centres; undefined if it is even. */
+  readonly wave: LoadWave | undefined;
+}
+
+/**
+ * Demand that moves between data centres: that of each one follows a sine, with
+ * the phases spread evenly.
+ */
+export interface LoadWave {
+  readonly periodMs: number;
+  /** Largest difference to the mean, as a share of it. */
+  readonly share: number;
 }
 
 /** Number of requests of one kind, by outcome. */
@@ -69,4 +95,10 @@
   failed: number;
   /** Those in time or late that a target in another data centre answered. */
   remote: number;
+  /** Refusals of all attempts, also those that a retry made good. */
+  refusedAttempts: number;
+  /** Those that took over half of the objective to reach a first target, or never did. */
+  slowToTarget: number;
+  /** Offers that gates refused. */
+  refusedOffers: number;
 }
