--- a/packages/peer-protocol/src/relay_frames.ts
+++ b/packages/peer-protocol/src/relay_frames.ts
@@ -69,6 +69,8 @@
    * gate; only for targets that report their pace.
    */
   maxFinishMs: DURATION_MS_SCHEMA.optional(),
+  /** Set if the caller is in another data centre, whose own callers come first. */
+  isFromElsewhere: z.boolean().optional(),
 });
 
 /**
@@ -212,7 +214,9 @@
   if (!layout) return Err({kind: 'invalid', message: 'unknown frame kind'});
   const fields: Record<string, unknown> = {kind: layout.kind};
   for (const [index, name] of layout.fieldNames.entries()) {
-    fields[name] = raw[index + 1];
+    // An absent field is left out, as it was before encoding.
+    const value: unknown = raw[index + 1];
+    if (value !== undefined) fields[name] = value;
   }
   const parsed = layout.schema.safeParse(fields);
   if (parsed.success) return Ok(parsed.data);
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -5,7 +5,6 @@
  */
 
 import {computeFingerprint} from '@cassiaknot/coordination';
-import type {ServiceId} from '@cassiaknot/inventory';
 import type {
   CallId,
   Fingerprint,
@@ -14,13 +13,18 @@
   RelayLink,
   RelayLinkEvents,
 } from '@cassiaknot/peer-protocol';
-import type {Job, JobPriority} from '@cassiaknot/routing';
+import type {Job} from '@cassiaknot/routing';
 import {TARGET_RESPONSE_GRACE_MS} from './constants.js';
 import type {CrashTracker} from './crash_suspects.js';
 import {CrashSuspects} from './crash_suspects.js';
 import type {EntryConnectionOptions} from './entry_connection.js';
 import {EntryConnection} from './entry_connection.js';
 import type {LoggedRefusal} from './gate_log.js';
+import {
+  checkAdmission,
+  getLoadFields,
+  isSlowerThanOthers,
+} from './gate_admission.js';
 import {GateLog} from './gate_log.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
@@ -29,7 +33,7 @@
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
-import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
+import type {Call, ReceivedOffer} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
@@ -38,9 +42,6 @@
   readonly crashTracker: CrashTracker;
 }
 
-/** Value of `runMs` in frames while the run time of the route is unknown. */
-const UNKNOWN_RUN_MS = -1;
-
 /** Admits requests to the target and reports their results to the entries. */
 export class RelayGate {
   private readonly connections = new Map<RelayLink, EntryConnection<Call>>();
@@ -136,7 +137,7 @@
   ): void {
     const session = this.options.localTarget.getSession();
     const received = {link, offer, session, transitMs};
-    const reason = this.checkAdmission(session, offer.serviceId);
+    const reason = checkAdmission(session, offer.serviceId, this.isStopping);
     if (!session || reason) {
       this.refuseOffer(received, reason ?? 'no-target');
       return;
@@ -173,26 +174,6 @@
     this.settleRefusal(call, 'stopping', false);
   }
 
-  private checkAdmission(
-    session: RelayTargetSession | undefined,
-    serviceId: ServiceId,
-  ): RefusalReason | undefined {
-    if (!session) return 'no-target';
-    if (session.getAnnouncement().serviceId !== serviceId) {
-      return 'wrong-service';
-    }
-    if (this.isStopping) return 'stopping';
-    switch (session.getState()) {
-      case 'open':
-        return undefined;
-      case 'down':
-        return 'target-down';
-      case 'draining':
-      case 'ended':
-        return 'draining';
-    }
-  }
-
   private schedule(
     link: RelayLink,
     offer: RelayFrameOf<'offer'>,
@@ -205,6 +186,8 @@
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
       urgency: offer.urgency,
+      isFromElsewhere: offer.isFromElsewhere,
+      workspaceId: offer.workspaceId,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -225,7 +208,7 @@
       isSettled: false,
     };
     this.addCall(call);
-    if (this.isSlowerThanOthers(job, offer, session, nowMs)) {
+    if (isSlowerThanOthers(job, offer, session, nowMs)) {
       this.settleRefusal(call, 'slow', false);
       return;
     }
@@ -235,19 +218,6 @@
     }
   }
 
-  // The entry has found others of the service to be faster. Its figures are older
-  // than those of this gate, so the decision is made here.
-  private isSlowerThanOthers(
-    job: Job,
-    {maxFinishMs}: RelayFrameOf<'offer'>,
-    session: RelayTargetSession,
-    nowMs: number,
-  ): boolean {
-    if (maxFinishMs === undefined || !session.getLearnedLoad()) return false;
-    const waitMs = session.scheduler.estimateWaitMs(job, nowMs);
-    return waitMs + job.expectedRunMs > maxFinishMs;
-  }
-
   private async run(call: Call): Promise<void> {
     const {offer, session, job, controller} = call;
     call.isRunning = true;
@@ -299,13 +269,14 @@
 
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
-    const {requestId, callerServiceId} = offer;
+    const {requestId, callerServiceId, workspaceId} = offer;
     const {targetId} = session.getAnnouncement();
     const added = this.options.headerCodec.formatTargetHeaders({
       requestId,
       remainingMs,
       targetId,
       callerServiceId,
+      workspaceId,
     });
     return [...offer.headers, ...added];
   }
@@ -345,7 +316,7 @@
           body,
           isFramed: isFramed(headers),
           isTargetLeaving: session.hasLeft(),
-          ...this.getLoadFields(call),
+          ...getLoadFields(call),
         });
         return;
       case 'not-run':
@@ -394,7 +365,7 @@
 
   private sendRefusal(received: ReceivedOffer, refusal: LoggedRefusal): void {
     const {link, offer, session} = received;
-    const load = this.getLoadFields(received);
+    const load = getLoadFields(received);
     this.log.logRefusal(offer, refusal, load.waitMs, session);
     const {callId} = offer;
     link.send({kind: 'refusal', callId, ...refusal, ...load});
@@ -407,7 +378,7 @@
       kind: 'loss',
       callId: offer.callId,
       reason,
-      ...this.getLoadFields(call),
+      ...getLoadFields(call),
     });
   }
 
@@ -415,23 +386,6 @@
     if (this.removeCall(call)) call.link.send(frame);
   }
 
-  private getLoadFields(received: ReceivedOffer): LoadFields {
-    const {session, offer, transitMs} = received;
-    if (!session) return {waitMs: 0, runMs: UNKNOWN_RUN_MS, transitMs};
-    const nowMs = performance.now();
-    const {ruleId, urgency, objectiveMs} = offer;
-    const candidate: JobPriority = {
-      urgency,
-      expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
-      objectiveAtMs: nowMs + objectiveMs,
-      deadlineAtMs: nowMs + offer.remainingMs,
-    };
-    const waitMs = session.scheduler.estimateWaitMs(candidate, nowMs);
-    const runMs = session.getMeanRunMs(ruleId) ?? UNKNOWN_RUN_MS;
-    const learned = session.getLearnedLoad();
-    return {waitMs, runMs, transitMs, ...learned};
-  }
-
   private handleConnectFailure(
     session: RelayTargetSession,
     isRefused: boolean,
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -117,6 +117,7 @@
       () => this.handleClose(instanceId),
       state => this.handleTargetState(instanceId, state),
       this.sendClock,
+      dataCentreId,
     );
     const gate: KnownGate = {
       link,
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -128,6 +128,7 @@
       state: RelayFrameOf<'target-state'>,
     ) => void = () => undefined,
     private readonly sendClock = new SendClock(),
+    readonly dataCentreId = '',
   ) {}
 
   /** Returns the handlers for the transport that opens this link. */
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -5,23 +5,16 @@
 
 import {QUARANTINE_TTL_MS} from '@cassiaknot/coordination';
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
-import type {TargetEstimate} from '@cassiaknot/routing';
+import type {SpillWindow} from '@cassiaknot/routing';
+import {DEFAULT_RUN_TIME_SHARE, MIN_RUN_TIME_SHARE} from '@cassiaknot/routing';
 import {
-  DEFAULT_RUN_TIME_SHARE,
-  MIN_RUN_TIME_SHARE,
-  chooseOfTwo,
-  rankTargets,
-  sampleTargets,
-} from '@cassiaknot/routing';
-import {
-  BOUNDED_WAIT_SHARE,
-  MAX_BOUNDED_OFFERS,
   MIN_RETRY_AFTER_MS,
   REPLY_GRACE_MS,
   RETRY_AFTER_MS,
-  WAIT_REPORT_TTL_MS,
 } from './constants.js';
 import type {CallerRequest, EntryContext, RoutePlan} from './entry_types.js';
+import type {ChosenGate} from './gate_choice.js';
+import {GateChoice} from './gate_choice.js';
 import type {GateLink, GateReply, PendingCall} from './gate_link.js';
 import type {LogFields} from './observer.js';
 import type {LossReason, RefusalReason, RelayOutcome} from './outcome.js';
@@ -50,13 +43,6 @@
 /** Shares of the retry budget available to retries after a loss or a failure. */
 const LOSS_RETRY_SHARE = 0.5;
 const FAILURE_RETRY_SHARE = 0.25;
-/**
- * A gate may decline an offer if its target is expected to take longer than both
- * this multiple of the mean of the service and this share of the time left.
- * Tighter values cost more offers than they save late requests.
- */
-const ACCEPTED_FINISH_FACTOR = 1.5;
-const ACCEPTED_FINISH_SHARE = 0.5;
 /** Lowest status code of a server error. */
 const MIN_SERVER_ERROR_STATUS = 500;
 const GATEWAY_TIMEOUT_STATUS = 504;
@@ -65,18 +51,10 @@
 
 /** State of one request while it is being routed. */
 export class RoutedRequest {
-  /** Gates that were tried, or skipped as overloaded. */
-  private readonly excludedGates = new Set<GateLink>();
-  /**
-   * Overloaded gates that could still serve the request before its deadline, with
-   * the expected wait that they reported.
-   */
-  private readonly overloadedGates = new Map<GateLink, number>();
+  private readonly choice: GateChoice;
   private readonly deadlineAtMs: number;
   /** Number of attempts that reached a target, or may have. */
   private arrivalCount = 0;
-  /** Number of accepting gates when a gate was last chosen. */
-  private acceptingGateCount = 0;
   /** Number of gates tried, including those whose link failed verification. */
   private offerCount = 0;
   /** Offer whose reply is awaited. */
@@ -89,8 +67,6 @@
   );
   private lastRefusal: RefusalReason = 'no-target';
   private isFinished = false;
-  /** Whether the least loaded gate was offered a wait until the deadline. */
-  private hasOfferedToLeastLoaded = false;
 
   constructor(
     private readonly entry: EntryContext,
@@ -102,6 +78,7 @@
       plan.timeoutMs,
     );
     this.deadlineAtMs = request.receivedAtMs + timeoutMs;
+    this.choice = new GateChoice(entry, plan);
   }
 
   /** Whether the request is certain to have its response by the given time. */
@@ -146,15 +123,16 @@
 
   /** Returns the fields logged with the outcome. */
   getLogFields(): LogFields {
-    const {ruleId, serviceId, version} = this.plan;
+    const {ruleId, serviceId, version, workspace} = this.plan;
     return {
       ruleId,
       serviceId,
       version,
+      workspaceId: workspace?.id,
       gate: this.lastGate?.instanceId,
       offers: this.offerCount,
       arrivals: this.arrivalCount,
-      acceptingGates: this.acceptingGateCount,
+      acceptingGates: this.choice.acceptingGateCount,
     };
   }
 
@@ -172,7 +150,7 @@
     for (;;) {
       const choice = this.chooseGate();
       if (!choice) return fallback ?? this.getRefusalOutcome();
-      const reply = await this.attempt(choice.link, choice.maxWaitMs);
+      const reply = await this.attempt(choice);
       if (!reply) continue;
       const outcome = this.handleReply(choice.link, reply);
       if (!outcome) continue;
@@ -183,8 +161,8 @@
     }
   }
 
-  private chooseGate(): {link: GateLink; maxWaitMs: number} | undefined {
-    const {plan, entry} = this;
+  private chooseGate(): ChosenGate | undefined {
+    const {plan, entry, offerCount} = this;
     const remainingMs = this.getRemainingMs();
     if (this.isFinished || remainingMs <= 0) return undefined;
     const meanRunMs =
@@ -194,75 +172,20 @@
       this.lastRefusal = 'deadline';
       return undefined;
     }
-    if (this.offerCount < MAX_BOUNDED_OFFERS) {
-      const accepting = entry.options.directory.findAccepting(plan.serviceId);
-      this.acceptingGateCount = accepting.length;
-      const load = entry.getServiceLoad(plan.serviceId);
-      const meanPace = load.getMeanPace();
-      const isPaced = meanPace !== undefined;
-      const {random} = entry.options;
-      const untried = accepting.filter(link => !this.excludedGates.has(link));
-      const compared = isPaced ? sampleTargets(untried, random) : untried;
-      const estimates = compared
-        .map(link => link.estimate(plan.ruleId))
-        .filter(estimate => !this.skipIfOverloaded(estimate));
-      const {objectiveMs} = plan;
-      const ranked = rankTargets(estimates, {
-        meanRunMs,
-        objectiveMs,
-        meanPace,
-        meanWaitMs: load.getMeanWaitMs(),
-      });
-      const best = isPaced ? chooseOfTwo(ranked) : ranked[0];
-      if (best) {
-        // A sole candidate may queue the request until its deadline.
-        const maxWaitMs =
-          estimates.length === 1 && this.overloadedGates.size === 0
-            ? remainingMs
-            : BOUNDED_WAIT_SHARE * objectiveMs;
-        return {link: best.target, maxWaitMs};
-      }
-    }
-    if (this.hasOfferedToLeastLoaded) return undefined;
-    this.hasOfferedToLeastLoaded = true;
-    const link = this.findLeastLoaded();
-    return link && {link, maxWaitMs: remainingMs};
+    const objectiveLeftMs = this.getObjectiveLeftMs();
+    const context = {meanRunMs, remainingMs, objectiveLeftMs, offerCount};
+    const chosen = this.choice.next(context);
+    if (this.choice.hasSkippedOverloaded) this.lastRefusal = 'overloaded';
+    return chosen;
   }
 
-  // Skips a gate that has just reported a long wait: under overload, the offers
-  // themselves would use up the CPU.
-  private skipIfOverloaded(estimate: TargetEstimate<GateLink>): boolean {
-    const {reportedWaitMs, reportAgeMs, target} = estimate;
-    if (reportAgeMs > WAIT_REPORT_TTL_MS) return false;
-    if (reportedWaitMs <= BOUNDED_WAIT_SHARE * this.plan.objectiveMs) {
-      return false;
-    }
-    this.excludedGates.add(target);
-    this.lastRefusal = 'overloaded';
-    const runMs = estimate.runMs ?? 0;
-    if (reportedWaitMs + runMs <= this.getRemainingMs()) {
-      this.overloadedGates.set(target, reportedWaitMs);
-    }
-    return true;
-  }
-
-  private findLeastLoaded(): GateLink | undefined {
-    let best: GateLink | undefined;
-    let bestWaitMs = Infinity;
-    for (const [link, waitMs] of this.overloadedGates) {
-      if (waitMs >= bestWaitMs || !link.getTargetState()?.isAccepting) continue;
-      best = link;
-      bestWaitMs = waitMs;
-    }
-    return best;
-  }
-
-  private async attempt(
-    link: GateLink,
-    maxWaitMs: number,
-  ): Promise<GateReply | undefined> {
+  private async attempt({
+    link,
+    maxWaitMs,
+    maxFinishMs,
+  }: ChosenGate): Promise<GateReply | undefined> {
     const {plan, request, entry} = this;
-    this.excludedGates.add(link);
+    this.choice.exclude(link);
     this.lastGate = link;
     this.offerCount += 1;
     // A non-idempotent offer sent over a dead link can't be withdrawn or retried.
@@ -287,39 +210,27 @@
       callerServiceId: entry.options.getCallerServiceId(),
       remainingMs: Math.max(0, this.getRemainingMs()),
       maxWaitMs,
-      maxFinishMs: this.getMaxFinishMs(),
+      maxFinishMs,
+      isFromElsewhere: this.choice.findSpillWindow(link) ? true : undefined,
       objectiveMs: plan.objectiveMs,
-      objectiveLeftMs:
-        request.receivedAtMs + plan.objectiveMs - performance.now(),
+      objectiveLeftMs: this.getObjectiveLeftMs(),
       urgency: plan.urgency,
       isIdempotent: plan.isIdempotent,
+      workspaceId: plan.workspace?.id,
     });
+    const spill = this.choice.findSpillWindow(link);
+    spill?.recordOffer();
     this.pendingOffer = {link, call};
     const reply = await Promise.race([
       call.reply,
       call.silence.then(() => LINK_SILENT),
     ]);
     this.pendingOffer = undefined;
+    if (spill) recordSpill(spill, reply);
     if (reply === LINK_SILENT) this.silentCalls.add(link, call);
     return reply;
   }
 
-  // Offers after the last bounded one go to a target for lack of a better one.
-  private getMaxFinishMs(): number | undefined {
-    const {plan, entry, request} = this;
-    if (this.offerCount >= MAX_BOUNDED_OFFERS) return undefined;
-    const meanMs = entry
-      .getServiceLoad(plan.serviceId)
-      .getMeanFinishMs(plan.ruleId);
-    if (meanMs === undefined) return undefined;
-    const objectiveLeftMs =
-      request.receivedAtMs + plan.objectiveMs - performance.now();
-    return Math.max(
-      ACCEPTED_FINISH_FACTOR * meanMs,
-      ACCEPTED_FINISH_SHARE * objectiveLeftMs,
-    );
-  }
-
   /** Returns the outcome, or undefined if the next gate should be tried. */
   private handleReply(
     link: GateLink,
@@ -378,11 +289,8 @@
     this.lastRefusal = reason;
     if (reason === 'quarantined') return this.getRefusalOutcome();
     this.recordLoad(reply);
-    const finishMs = reply.waitMs + Math.max(0, reply.runMs);
-    const isForLoad = reason === 'overloaded' || reason === 'slow';
-    if (isForLoad && finishMs <= this.getRemainingMs()) {
-      const isPaced = reply.pace !== undefined;
-      this.overloadedGates.set(link, isPaced ? finishMs : reply.waitMs);
+    if (isForLoad(reason)) {
+      this.choice.recordOverload(link, reply, this.getRemainingMs());
     }
     if (!reply.hasArrived) return undefined;
     // The target itself refused the request, so this attempt is an arrival.
@@ -440,12 +348,8 @@
       return newRefusal(reason, MIN_RETRY_AFTER_MS * 2 * jitter);
     }
     if (reason === 'quarantined') return newRefusal(reason, QUARANTINE_TTL_MS);
-    if (reason !== 'overloaded' && reason !== 'slow')
-      return newRefusal(reason, RETRY_AFTER_MS);
-    let waitMs = Infinity;
-    for (const link of this.excludedGates) {
-      waitMs = Math.min(waitMs, link.estimate(this.plan.ruleId).reportedWaitMs);
-    }
+    if (!isForLoad(reason)) return newRefusal(reason, RETRY_AFTER_MS);
+    const waitMs = this.choice.getShortestWaitMs() ?? RETRY_AFTER_MS;
     return newRefusal(reason, Math.max(MIN_RETRY_AFTER_MS, waitMs * jitter));
   }
 
@@ -457,6 +361,11 @@
     return {kind: 'lost', reason: 'timeout'};
   }
 
+  private getObjectiveLeftMs(): number {
+    const {request, plan} = this;
+    return request.receivedAtMs + plan.objectiveMs - performance.now();
+  }
+
   private getRemainingMs(): number {
     return this.deadlineAtMs - performance.now();
   }
@@ -480,3 +389,15 @@
     });
   }
 }
+
+function recordSpill(spill: SpillWindow, reply: GateReply): void {
+  const nowMs = performance.now();
+  if (reply.kind === 'answer') spill.recordAnswer(nowMs);
+  else if (reply.kind === 'refusal' && reply.reason === 'overloaded') {
+    spill.recordRefusal(reply.waitMs, nowMs);
+  } else spill.recordOther();
+}
+
+function isForLoad(reason: RefusalReason): boolean {
+  return reason === 'overloaded' || reason === 'slow';
+}
--- a/packages/routing/src/concurrency_limit.ts
+++ b/packages/routing/src/concurrency_limit.ts
@@ -15,9 +15,9 @@
 /** Longer runs count as this multiple of the mean, so that one changes little. */
 const MAX_RUN_RATIO = 4;
 /** Ratio of fast to slow runs below which the limit shrinks. */
-const SHRINK_GRADIENT = 0.7;
+const SHRINK_GRADIENT = 0.55;
 /** Ratio of fast to slow runs from which on a limit that is in use grows. */
-const GROW_GRADIENT = 0.85;
+const GROW_GRADIENT = 0.75;
 /** Factor on the limit after a refusal by the target. */
 const REFUSAL_FACTOR = 0.8;
 /** Time without runs at low concurrency after which the limit grows again. */
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -45,3 +45,12 @@
 export const PACE_SMOOTHING_MS = 100;
 /** Half-life of the difference between a reported pace and the mean. */
 export const PACE_HALF_LIFE_MS = 300;
+/** Requests to another data centre that an entry sends before it has answers. */
+export const INITIAL_SPILL_WINDOW = 4;
+/** Most requests to a service in another data centre that an entry has in flight. */
+export const MAX_SPILL_WINDOW = 64;
+/** Limits of the time without requests to a data centre that has refused one. */
+export const MIN_SPILL_HOLD_MS = 20;
+export const MAX_SPILL_HOLD_MS = 1_000;
+/** Time without a reply after which figures of another data centre are stale. */
+export const SPILL_SILENCE_MS = 2_000;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,6 +6,7 @@
 export * from './pace.js';
 export * from './service_load.js';
 export * from './slot_scheduler.js';
+export * from './spill_window.js';
 export * from './target_choice.js';
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -30,6 +30,8 @@
   readonly objectiveAtMs: number;
   /** Time at which the caller stops waiting. */
   readonly deadlineAtMs: number;
+  /** Whether its caller is in another data centre; those of the own come first. */
+  readonly isFromElsewhere?: boolean | undefined;
 }
 
 /** A request for a slot. */
@@ -245,6 +247,10 @@
     const isLeftInTime = this.meetsObjective(left, nowMs);
     const isRightInTime = this.meetsObjective(right, nowMs);
     if (isLeftInTime !== isRightInTime) return isLeftInTime ? -1 : 1;
+    const isLeftFromElsewhere = left.isFromElsewhere === true;
+    if (isLeftFromElsewhere !== (right.isFromElsewhere === true)) {
+      return isLeftFromElsewhere ? 1 : -1;
+    }
     return isLeftInTime ? left.expectedRunMs - right.expectedRunMs : 0;
   }
 
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -20,10 +20,10 @@
 ): T[] {
   const local = targets.filter(({isSameDataCentre}) => isSameDataCentre);
   const remote = targets.filter(({isSameDataCentre}) => !isSameDataCentre);
-  return [
-    ...draw(local, LOCAL_SAMPLE_SIZE, random),
-    ...draw(remote, REMOTE_SAMPLE_SIZE, random),
-  ];
+  const drawn = draw(local, LOCAL_SAMPLE_SIZE, random);
+  const missingCount = LOCAL_SAMPLE_SIZE - drawn.length;
+  drawn.push(...draw(remote, REMOTE_SAMPLE_SIZE + missingCount, random));
+  return drawn;
 }
 
 /**
