Send to other data centres only what may be late in the own one

Cause: at its peak a data centre kept requests that others could serve in time, or sent them on without a bound; at the gate they ranked as its own callers.

Change: where targets report their pace, an entry leaves its data centre only if the best sampled target there may miss the objective. Offers from elsewhere rank behind a data centre's own callers of equal urgency.

--- a/packages/relay/src/gate_choice.ts
+++ b/packages/relay/src/gate_choice.ts
@@ -2,7 +2,12 @@
 
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {SpillWindow, TargetEstimate} from '@cassiaknot/routing';
-import {chooseOfTwo, rankTargets, sampleTargets} from '@cassiaknot/routing';
+import {
+  chooseOfTwo,
+  keepInDataCentre,
+  rankTargets,
+  sampleTargets,
+} from '@cassiaknot/routing';
 import {
   BOUNDED_WAIT_SHARE,
   MAX_BOUNDED_OFFERS,
@@ -13,10 +18,10 @@
 
 /**
  * A gate may decline an offer if its target is expected to take longer than both
- * this multiple of the mean of the service and this share of the time left.
- * Tighter values cost more offers than they save late requests.
+ * this multiple of the mean of the service and this share of the time left. With a
+ * multiple of 1.5, gates decline twice as many offers for the same share in time.
  */
-const ACCEPTED_FINISH_FACTOR = 1.5;
+const ACCEPTED_FINISH_FACTOR = 2;
 const ACCEPTED_FINISH_SHARE = 0.5;
 
 /** A gate to which a request is offered next. */
@@ -42,6 +47,8 @@
   acceptingGateCount = 0;
   /** Whether a gate has been skipped since it had just reported a long wait. */
   hasSkippedOverloaded = false;
+  /** Whether a gate has been skipped to spare another data centre. */
+  private hasHeldSpill = false;
   /** Gates that were tried, or skipped as overloaded. */
   private readonly excludedGates = new Set<GateLink>();
   /**
@@ -65,6 +72,7 @@
     if (context.offerCount < MAX_BOUNDED_OFFERS) {
       const chosen = this.chooseBounded(context);
       if (chosen) return chosen;
+      if (this.hasHeldSpill) this.entry.options.observer.count('spill', 'held');
     }
     if (this.hasOfferedToLeastLoaded) return undefined;
     this.hasOfferedToLeastLoaded = true;
@@ -109,6 +117,7 @@
 
   private chooseBounded(context: ChoiceContext): ChosenGate | undefined {
     const {entry, plan} = this;
+    this.hasHeldSpill = false;
     const accepting = entry.options.directory.findAccepting(plan.serviceId);
     this.acceptingGateCount = accepting.length;
     const load = entry.getServiceLoad(plan.serviceId);
@@ -124,13 +133,16 @@
       const estimates = compared
         .map(link => link.estimate(plan.ruleId))
         .filter(estimate => !this.skipIfOverloaded(estimate, context));
-      const ranked = rankTargets(estimates, {
+      const ranking = {
         meanRunMs: context.meanRunMs,
         objectiveMs: plan.objectiveMs,
         meanPace: load.getMeanPace(),
         meanWaitMs: load.getMeanWaitMs(),
-      });
-      const best = isPaced ? chooseOfTwo(ranked) : ranked[0];
+      };
+      const ranked = rankTargets(estimates, ranking);
+      const best = isPaced
+        ? chooseOfTwo(keepInDataCentre(ranked, ranking))
+        : ranked[0];
       if (!best) continue;
       // A sole candidate may queue the request until its deadline.
       const isSole =
@@ -165,6 +177,7 @@
     const spill = this.findSpillWindow(link);
     if (!spill || spill.mayOffer(performance.now())) return true;
     this.hasSkippedOverloaded = true;
+    this.hasHeldSpill = true;
     return false;
   }
 
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -38,6 +38,8 @@
   | 'target-report'
   /** A change of the number of requests that the target runs well at a time. */
   | 'target-limit'
+  /** What is sent to other data centres, and what is held back. */
+  | 'spill'
   | 'announcement';
 
 /** Stages whose latency is measured. */
--- /dev/null
+++ b/packages/relay/src/paced_targets.test.ts
@@ -0,0 +1,92 @@
+import type {Clock} from '@sinonjs/fake-timers';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {ScriptedTarget} from './testing/scripted_target.js';
+
+const RUN_MS = 40;
+
+describe('Targets that report their pace', () => {
+  let clock: Clock;
+  let target: ScriptedTarget;
+
+  beforeEach(() => {
+    clock = install();
+    target = new ScriptedTarget();
+  });
+  afterEach(() => {
+    clock.uninstall();
+  });
+
+  async function run(
+    count: number,
+    runMs: number,
+    headers: Record<string, string>,
+  ): Promise<void> {
+    target.response = {runMs, headers};
+    for (let index = 0; index < count; index += 1) {
+      target.offer(2_000, 0);
+      await clock.tickAsync(runMs);
+    }
+  }
+
+  function getLastReply() {
+    const reply = target.replies.at(-1);
+    if (reply?.kind !== 'answer') throw new Error('no answer');
+    return reply;
+  }
+
+  // A run time measured in a slow moment was taken for usual, so that the target
+  // got too little work afterwards.
+  it('are expected to take their usual run time at their current pace', async () => {
+    await run(20, RUN_MS, {pace: '1'});
+    await run(10, 2 * RUN_MS, {pace: '2'});
+    expect(getLastReply().runMs).to.be.within(1.8 * RUN_MS, 2.1 * RUN_MS);
+    expect(getLastReply().pace).to.be.within(1.8, 2);
+    await run(10, RUN_MS, {pace: '1'});
+    expect(getLastReply().runMs).to.be.within(0.9 * RUN_MS, 1.2 * RUN_MS);
+  });
+
+  // Other deployments must be served as before.
+  it('are the only ones for which gates report a pace and a limit', async () => {
+    await run(5, RUN_MS, {});
+    expect(getLastReply().pace).to.equal(undefined);
+    expect(getLastReply().limit).to.equal(undefined);
+    target.offer(2_000, 0, true, 1);
+    expect(target.getRefusalReasons()).to.deep.equal([]);
+  });
+
+  // The figures of an entry are seconds old, so it offered requests to targets that
+  // were slow by then.
+  it('decline what others are expected to run sooner', async () => {
+    await run(20, RUN_MS, {pace: '1'});
+    target.offer(2_000, 0, true, 2 * RUN_MS);
+    expect(target.getRefusalReasons()).to.deep.equal([]);
+    await run(5, 5 * RUN_MS, {pace: '5'});
+    target.offer(2_000, 0, true, 2 * RUN_MS);
+    expect(target.getRefusalReasons()).to.deep.equal(['slow']);
+    target.offer(2_000, 0);
+    expect(target.getRefusalReasons()).to.have.length(1);
+  });
+
+  // A refusal takes 1 ms. As a run time, it made a target that refused look fast,
+  // so that it got even more requests.
+  it('do not look fast because they refuse', async () => {
+    await run(20, RUN_MS, {pace: '1'});
+    await run(20, 1, {pace: '1', 'not-run': '1'});
+    await run(1, RUN_MS, {pace: '1'});
+    expect(getLastReply().runMs).to.be.within(0.9 * RUN_MS, 1.1 * RUN_MS);
+  });
+
+  it('get fewer requests at a time after they have refused some, with a line that says so', async () => {
+    await run(5, RUN_MS, {pace: '1'});
+    await clock.tickAsync(1_000);
+    await run(1, 1, {pace: '1', 'not-run': '1'});
+    const line = target.observer.lines.find(
+      ({event}) => event === 'concurrency-limit',
+    );
+    expect(line?.fields).to.include({reason: 'refused', limit: 3, slots: 4});
+    const before = target.requests.length;
+    for (let index = 0; index < 4; index += 1) target.offer(2_000, 0);
+    expect(target.requests.length - before).to.equal(3);
+  });
+});
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -226,11 +226,36 @@
       call.silence.then(() => LINK_SILENT),
     ]);
     this.pendingOffer = undefined;
-    if (spill) recordSpill(spill, reply);
+    if (spill) this.recordSpill(spill, link, reply);
     if (reply === LINK_SILENT) this.silentCalls.add(link, call);
     return reply;
   }
 
+  private recordSpill(
+    spill: SpillWindow,
+    link: GateLink,
+    reply: GateReply,
+  ): void {
+    const {observer} = this.entry.options;
+    const nowMs = performance.now();
+    if (reply.kind === 'answer') {
+      observer.count('spill', 'answered');
+      spill.recordAnswer(nowMs);
+    } else if (reply.kind === 'refusal' && reply.reason === 'overloaded') {
+      observer.count('spill', 'refused');
+      const holdMs = spill.recordRefusal(reply.waitMs, nowMs);
+      const {dataCentreId} = link;
+      this.logEvent('spill-held', link, {
+        dataCentreId,
+        holdMs: Math.round(holdMs),
+        waitMs: Math.round(reply.waitMs),
+      });
+    } else {
+      observer.count('spill', 'other');
+      spill.recordOther();
+    }
+  }
+
   /** Returns the outcome, or undefined if the next gate should be tried. */
   private handleReply(
     link: GateLink,
@@ -390,14 +415,6 @@
   }
 }
 
-function recordSpill(spill: SpillWindow, reply: GateReply): void {
-  const nowMs = performance.now();
-  if (reply.kind === 'answer') spill.recordAnswer(nowMs);
-  else if (reply.kind === 'refusal' && reply.reason === 'overloaded') {
-    spill.recordRefusal(reply.waitMs, nowMs);
-  } else spill.recordOther();
-}
-
 function isForLoad(reason: RefusalReason): boolean {
   return reason === 'overloaded' || reason === 'slow';
 }
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -23,7 +23,7 @@
 
 /**
  * Sends the time left as the only header and takes every response as an answer,
- * which names a limit or the target's leaving.
+ * which names a limit, a pace or the target's leaving, unless it says `not-run`.
  */
 const HEADER_CODEC: HeaderCodec = {
   strippedRequestHeaders: new Set(),
@@ -32,11 +32,15 @@
   strippedResponseHeaders: new Set(),
   parseCallerHeaders: () => ({requestId: '', timeoutMs: undefined}),
   formatTargetHeaders: ({remainingMs}) => ['remaining', String(remainingMs)],
-  parseTargetReport: ({limit, leaving}) => ({
+  parseTargetReport: ({limit, leaving, pace}) => ({
     limitPerSecond: limit === undefined ? undefined : Number(limit),
     isLeaving: leaving !== undefined,
+    pace: pace === undefined ? undefined : Number(pace),
   }),
-  classifyResponse: () => ({kind: 'answer'}),
+  classifyResponse: (_requestId, {headers}) =>
+    headers['not-run'] === undefined
+      ? {kind: 'answer'}
+      : {kind: 'not-run', isOtherInstance: false, isIdentified: true},
 };
 
 /** A gate, one link to it, and what passes over both. */
@@ -132,7 +136,12 @@
   }
 
   /** Delivers an offer that was under way for the given time. */
-  offer(remainingMs: number, transitMs: number, isIdempotent = true): CallId {
+  offer(
+    remainingMs: number,
+    transitMs: number,
+    isIdempotent = true,
+    maxFinishMs?: number,
+  ): CallId {
     this.offerCount += 1;
     const callId = brandId<CallId>(String(this.offerCount));
     this.linkEvents.onFrame(this.link, {
@@ -153,6 +162,7 @@
       urgency: 1,
       isIdempotent,
       sentAtMs: performance.now() - transitMs,
+      maxFinishMs,
     });
     return callId;
   }
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -18,11 +18,10 @@
 /** Factor on run times during the warm-up of a target. */
 export const WARM_UP_RUN_TIME_FACTOR = 2;
 /**
- * Penalty for a target in another data centre if targets report their pace. With
- * 0.3, 2 to 4 in 100 requests more are late in the load model while demand moves
- * between data centres.
+ * Penalty for a target in another data centre if targets report their pace. It
+ * applies only where the own data centre may miss the objective, so it is small.
  */
-export const PACED_REMOTE_PENALTY_SHARE = 0.15;
+export const PACED_REMOTE_PENALTY_SHARE = 0.1;
 /** Penalty at a failure rate of 1, as a multiple of the latency objective. */
 export const FAILURE_PENALTY_FACTOR = 2;
 /** Factor on the expected run time that covers most of the spread of runs. */
--- a/packages/routing/src/slot_scheduler.test.ts
+++ b/packages/routing/src/slot_scheduler.test.ts
@@ -18,6 +18,7 @@
   readonly objectiveAtMs?: number;
   readonly deadlineAtMs?: number;
   readonly maxWaitMs?: number;
+  readonly isFromElsewhere?: boolean;
 }
 
 /** Offers jobs and records the state of each. */
@@ -34,6 +35,7 @@
       objectiveAtMs = 10_000,
       deadlineAtMs = 10_000,
       maxWaitMs = 10_000,
+      isFromElsewhere,
     } = fields;
     const recorded: RecordedJob = {
       state: 'offered',
@@ -44,6 +46,7 @@
         objectiveAtMs,
         deadlineAtMs,
         maxWaitMs,
+        isFromElsewhere,
         start: () => {
           expect(recorded.state, 'started twice').to.equal('offered');
           recorded.state = 'started';
@@ -74,6 +77,22 @@
 }
 
 describe('Slot scheduler', () => {
+  // Demand from a data centre at its peak would push aside the callers of another.
+  it('starts callers of its own data centre before others of equal urgency', () => {
+    const recorder = new JobRecorder(new SlotScheduler(1));
+    recorder.offer();
+    const elsewhere = recorder.offer({
+      isFromElsewhere: true,
+      expectedRunMs: 50,
+    });
+    const urgent = recorder.offer({isFromElsewhere: true, urgency: 0});
+    const own = recorder.offer();
+    recorder.finishFirst();
+    expect(urgent.state).to.equal('started');
+    recorder.finishFirst();
+    expect([own.state, elsewhere.state]).to.deep.equal(['started', 'offered']);
+  });
+
   it('refuses at once the jobs of a burst that can not meet their deadline', () => {
     const recorder = new JobRecorder(new SlotScheduler(2));
     for (let index = 0; index < 40; index += 1) {
--- a/packages/routing/src/spill_window.ts
+++ b/packages/routing/src/spill_window.ts
@@ -42,13 +42,17 @@
     this.holdMs = MIN_SPILL_HOLD_MS;
   }
 
-  /** Records a refusal for load, with the wait that the gate has reported. */
-  recordRefusal(waitMs: number, nowMs: number): void {
+  /**
+   * Records a refusal for load, with the wait that the gate has reported. Returns
+   * the time without further requests.
+   */
+  recordRefusal(waitMs: number, nowMs: number): number {
     this.recordReply(nowMs);
     this.window = Math.max(1, this.window / 2);
     const holdMs = Math.min(MAX_SPILL_HOLD_MS, Math.max(this.holdMs, waitMs));
     this.heldUntilMs = Math.max(this.heldUntilMs, nowMs + holdMs);
     this.holdMs = Math.min(MAX_SPILL_HOLD_MS, 2 * this.holdMs);
+    return holdMs;
   }
 
   /** Records that no reply came, or one that says nothing of the load. */
--- a/packages/routing/src/target_choice.test.ts
+++ b/packages/routing/src/target_choice.test.ts
@@ -1,6 +1,6 @@
 import {SeededRandom} from '@cassiaknot/coordination';
 import {expect} from 'chai';
-import {chooseOfTwo, sampleTargets} from './target_choice.js';
+import {chooseOfTwo, keepInDataCentre, sampleTargets} from './target_choice.js';
 import type {TargetEstimate} from './target_ranking.js';
 
 const SEED = 20261207;
@@ -46,6 +46,22 @@
     expect(sampleTargets(targets, () => 0.99)).to.have.members(targets);
   });
 
+  // Traffic between data centres costs bytes and delay, also where it gains nothing.
+  it('leaves the own data centre only if it may miss the objective', () => {
+    const local = newEstimate('local', 0);
+    const remote = {...newEstimate('remote', 0), isSameDataCentre: false};
+    const keep = (objectiveMs: number) =>
+      keepInDataCentre([remote, local], {meanRunMs: 100, objectiveMs}).map(
+        ({target}) => target,
+      );
+    expect(keep(1_000)).to.deep.equal(['local']);
+    expect(keep(150)).to.deep.equal(['remote', 'local']);
+    const context = {meanRunMs: 100, objectiveMs: 1_000};
+    expect(keepInDataCentre([remote], context)).to.deep.equal([remote]);
+    const suspect = {...local, isSuspect: true};
+    expect(keepInDataCentre([remote, suspect], context)).to.have.length(2);
+  });
+
   it('prefers the second best only if this entry has fewer requests there', () => {
     const choose = (...estimates: Array<TargetEstimate<string>>) =>
       chooseOfTwo(estimates)?.target;
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -6,13 +6,17 @@
  * all targets from growing old.
  */
 
-import type {TargetEstimate} from './target_ranking.js';
+import type {RankingContext, TargetEstimate} from './target_ranking.js';
+import {estimateFinishMs, estimateRunMs} from './target_ranking.js';
 
 /** Targets of the own data centre that one request compares. */
 const LOCAL_SAMPLE_SIZE = 3;
 /** Targets of other data centres that one request compares. */
 const REMOTE_SAMPLE_SIZE = 2;
 
+/** Factor on the expected run time that covers nearly all runs. */
+const LOCAL_RUN_SPREAD_FACTOR = 2.5;
+
 /** Draws the targets that one request compares. */
 export function sampleTargets<T extends {readonly isSameDataCentre: boolean}>(
   targets: readonly T[],
@@ -38,6 +42,22 @@
   return second.inFlight < best.inFlight ? second : best;
 }
 
+/**
+ * Leaves out the targets of other data centres if the best of the own one is likely
+ * to respond within the objective. Expects the best first.
+ */
+export function keepInDataCentre<T>(
+  ranked: ReadonlyArray<TargetEstimate<T>>,
+  context: RankingContext,
+): ReadonlyArray<TargetEstimate<T>> {
+  const local = ranked.filter(({isSameDataCentre}) => isSameDataCentre);
+  const [best] = local;
+  if (!best || best.isSuspect) return ranked;
+  const spreadMs = (LOCAL_RUN_SPREAD_FACTOR - 1) * estimateRunMs(best, context);
+  const responseMs = estimateFinishMs(best, context) + spreadMs;
+  return responseMs <= context.objectiveMs ? local : ranked;
+}
+
 function draw<T>(
   items: readonly T[],
   count: number,
--- a/packages/routing/src/target_ranking.ts
+++ b/packages/routing/src/target_ranking.ts
@@ -93,7 +93,8 @@
   );
 }
 
-function estimateRunMs<T>(
+/** Estimates the run time of a request at a target. */
+export function estimateRunMs<T>(
   estimate: TargetEstimate<T>,
   context: RankingContext,
 ): number {
