--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -1,6 +1,10 @@
 /** Metrics of the request path: counters, latency histograms and gauges. */
 
-import type {CountedEvent, MeasuredStage} from '@cassiaknot/relay';
+import type {
+  CountedEvent,
+  MeasuredStage,
+  RelayTargetSession,
+} from '@cassiaknot/relay';
 import type {Registry} from 'prom-client';
 import {Counter, Histogram} from 'prom-client';
 import {registerGauge} from '../register_gauge.js';
@@ -9,13 +13,9 @@
 export interface MeshGauges {
   getVersion(): number;
   getOpenGateCount(): number;
-  getWaitingCount(): number;
-  getRunningCount(): number;
+  getTargetSession(): RelayTargetSession | undefined;
   getDroppedLogLineCount(): number;
-  /** Requests that the target may run at a time, as learned. */
-  getTargetLimit(): number;
-  /** How long work takes at the target now; 1 as usual or if it doesn't say. */
-  getTargetPace(): number;
+  getLentWorkspaceCount(): number;
 }
 
 /** Upper bounds of the latency buckets, in milliseconds. */
@@ -66,28 +66,33 @@
       [
         'cassiaknot_waiting',
         'Requests that wait for the target',
-        () => gauges.getWaitingCount(),
+        () => gauges.getTargetSession()?.getLoad().waiting ?? 0,
       ],
       [
         'cassiaknot_running',
         'Requests that the target runs',
-        () => gauges.getRunningCount(),
+        () => gauges.getTargetSession()?.getLoad().running ?? 0,
       ],
       [
         'cassiaknot_target_limit',
         'Requests that the target runs well at a time',
-        () => gauges.getTargetLimit(),
+        () => gauges.getTargetSession()?.getLimit() ?? 0,
       ],
       [
         'cassiaknot_target_pace',
         'How long work takes at the target, 1 as usual',
-        () => gauges.getTargetPace(),
+        () => gauges.getTargetSession()?.getLearnedLoad()?.pace ?? 1,
       ],
       [
         'cassiaknot_log_lines_dropped',
         'Log lines left out because the output was not read',
         () => gauges.getDroppedLogLineCount(),
       ],
+      [
+        'cassiaknot_lent_workspaces',
+        'Workspaces of which this instance lends permits',
+        () => gauges.getLentWorkspaceCount(),
+      ],
     ];
     for (const [name, help, readValue] of gaugeDefinitions) {
       registerGauge(this.registry, name, help, readValue);
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -20,6 +20,7 @@
   SWEEP_INTERVAL_MS,
 } from './constants.js';
 import type {LossReason} from './outcome.js';
+import {toLossReason} from './outcome.js';
 import type {TargetStart} from './target_announcement.js';
 import {isSameStart} from './target_announcement.js';
 import {SendClock} from './transit_delay.js';
@@ -128,6 +129,9 @@
       state: RelayFrameOf<'target-state'>,
     ) => void = () => undefined,
     private readonly sendClock = new SendClock(),
+    private readonly onPermitGrant: (
+      grant: RelayFrameOf<'permit-grant'>,
+    ) => void = () => undefined,
     readonly dataCentreId = '',
   ) {}
 
@@ -193,6 +197,11 @@
     return {callId, reply, silence};
   }
 
+  /** Asks for permits or a vote; `false` if the link is not open. */
+  requestPermits(request: RelayFrameOf<'permit-request'>): boolean {
+    return this.isOpen && this.link?.send(request) === true;
+  }
+
   /** Withdraws an offer that has no reply yet. */
   cancel(callId: CallId): void {
     if (!this.pending.has(callId)) return;
@@ -320,6 +329,9 @@
         this.warmUpEndsAtMs = this.lastReceivedAtMs + frame.coldMs;
         this.setTargetState(frame);
         return;
+      case 'permit-grant':
+        this.onPermitGrant(frame);
+        return;
       default:
         return;
     }
@@ -426,17 +438,3 @@
   const {waitMs} = frame;
   return {kind: 'loss', reason: toLossReason(frame.reason), waitMs};
 }
-
-const GATE_LOSS_REASONS: readonly LossReason[] = [
-  'target-lost',
-  'target-silent',
-  'answer-cut',
-  'answer-foreign',
-  'answer-too-large',
-  'timeout',
-  'cancelled',
-];
-
-function toLossReason(text: string): LossReason {
-  return GATE_LOSS_REASONS.find(reason => reason === text) ?? 'target-lost';
-}
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -85,6 +85,21 @@
   return GATE_REFUSAL_REASONS.find(reason => reason === text) ?? 'no-target';
 }
 
+const GATE_LOSS_REASONS: readonly LossReason[] = [
+  'target-lost',
+  'target-silent',
+  'answer-cut',
+  'answer-foreign',
+  'answer-too-large',
+  'timeout',
+  'cancelled',
+];
+
+/** Parses the reason of a loss; an unknown one is read as `target-lost`. */
+export function toLossReason(text: string): LossReason {
+  return GATE_LOSS_REASONS.find(reason => reason === text) ?? 'target-lost';
+}
+
 /** Creates the outcome of a refused request. */
 export function newRefusal(
   reason: RefusalReason,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,3 +11,4 @@
 export * from './target_ranking.js';
 export * from './sliding_retry_budget.js';
 export * from './weighted_round_robin.js';
+export * from './quota/index.js';
