--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -1,10 +1,6 @@
 /** Metrics of the request path: counters, latency histograms and gauges. */
 
-import type {
-  CountedEvent,
-  MeasuredStage,
-  RelayTargetSession,
-} from '@cassiaknot/relay';
+import type {CountedEvent, MeasuredStage} from '@cassiaknot/relay';
 import type {Registry} from 'prom-client';
 import {Counter, Histogram} from 'prom-client';
 import {registerGauge} from '../register_gauge.js';
@@ -13,7 +9,13 @@
 export interface MeshGauges {
   getVersion(): number;
   getOpenGateCount(): number;
-  getTargetSession(): RelayTargetSession | undefined;
+  getWaitingCount(): number;
+  getRunningCount(): number;
+  getOverShareCount(): number;
+  /** Requests that the target may run at a time, as learned. */
+  getTargetLimit(): number;
+  /** How long work takes at the target now; 1 as usual or if it doesn't say. */
+  getTargetPace(): number;
   getDroppedLogLineCount(): number;
   getLentWorkspaceCount(): number;
 }
@@ -66,22 +68,27 @@
       [
         'cassiaknot_waiting',
         'Requests that wait for the target',
-        () => gauges.getTargetSession()?.getLoad().waiting ?? 0,
+        () => gauges.getWaitingCount(),
       ],
       [
         'cassiaknot_running',
         'Requests that the target runs',
-        () => gauges.getTargetSession()?.getLoad().running ?? 0,
+        () => gauges.getRunningCount(),
       ],
       [
         'cassiaknot_target_limit',
         'Requests that the target runs well at a time',
-        () => gauges.getTargetSession()?.getLimit() ?? 0,
+        () => gauges.getTargetLimit(),
       ],
       [
         'cassiaknot_target_pace',
         'How long work takes at the target, 1 as usual',
-        () => gauges.getTargetSession()?.getLearnedLoad()?.pace ?? 1,
+        () => gauges.getTargetPace(),
+      ],
+      [
+        'cassiaknot_workspaces_over_share',
+        'Workspaces above their fair share while requests queue for the target',
+        () => gauges.getOverShareCount(),
       ],
       [
         'cassiaknot_log_lines_dropped',
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -27,6 +27,7 @@
   isSlowerThanOthers,
 } from './gate_admission.js';
 import {GateLog} from './gate_log.js';
+import {findDecidingShare, toSharePriority} from './gate_shares.js';
 import type {HeaderCodec} from './header_codec.js';
 import type {LocalTarget} from './local_target.js';
 import type {LossReason, RefusalReason} from './outcome.js';
@@ -186,9 +187,8 @@
     const sentAtMs = nowMs - transitMs;
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
-      urgency: offer.urgency,
+      ...toSharePriority(offer),
       isFromElsewhere: offer.isFromElsewhere,
-      workspaceId: offer.workspaceId,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -367,9 +367,15 @@
   private sendRefusal(received: ReceivedOffer, refusal: LoggedRefusal): void {
     const {link, offer, session} = received;
     const load = getLoadFields(received);
-    this.log.logRefusal(offer, refusal, load.waitMs, session);
+    const share = findDecidingShare(
+      received,
+      refusal.reason,
+      performance.now(),
+    );
+    const waitMs = Math.max(load.waitMs, share?.waitMs ?? 0);
+    this.log.logRefusal(offer, refusal, waitMs, session, share);
     const {callId} = offer;
-    link.send({kind: 'refusal', callId, ...refusal, ...load});
+    link.send({kind: 'refusal', callId, ...refusal, ...load, waitMs});
   }
 
   private settleLoss(call: Call, reason: LossReason): void {
--- a/packages/relay/src/gate_admission.ts
+++ b/packages/relay/src/gate_admission.ts
@@ -4,6 +4,7 @@
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {Job, JobPriority} from '@cassiaknot/routing';
 import type {LoadFields, ReceivedOffer} from './gate_call.js';
+import {toReportedPriority} from './gate_shares.js';
 import type {RefusalReason} from './outcome.js';
 import type {RelayTargetSession} from './target_session.js';
 
@@ -52,9 +53,9 @@
   const {session, offer, transitMs} = received;
   if (!session) return {waitMs: 0, runMs: UNKNOWN_RUN_MS, transitMs};
   const nowMs = performance.now();
-  const {ruleId, urgency, objectiveMs} = offer;
+  const {ruleId, objectiveMs} = offer;
   const candidate: JobPriority = {
-    urgency,
+    ...toReportedPriority(offer),
     isFromElsewhere: offer.isFromElsewhere,
     expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
     objectiveAtMs: nowMs + objectiveMs,
--- a/packages/relay/src/gate_choice.ts
+++ b/packages/relay/src/gate_choice.ts
@@ -15,6 +15,7 @@
 } from './constants.js';
 import type {EntryContext, RoutePlan} from './entry_types.js';
 import type {GateLink} from './gate_link.js';
+import type {ShareRefusals} from './share_refusals.js';
 
 /**
  * A gate may decline an offer if its target is expected to take longer than both
@@ -63,6 +64,7 @@
   constructor(
     private readonly entry: EntryContext,
     private readonly plan: RoutePlan,
+    private readonly shareRefusals: ShareRefusals,
   ) {}
 
   /** Returns the next gate; undefined if the request has to be refused. */
@@ -139,7 +141,8 @@
         meanPace: load.getMeanPace(),
         meanWaitMs: load.getMeanWaitMs(),
       };
-      const ranked = rankTargets(estimates, ranking);
+      const candidates = this.shareRefusals.selectCandidates(estimates);
+      const ranked = rankTargets(candidates, ranking);
       const best = isPaced
         ? chooseOfTwo(keepInDataCentre(ranked, ranking))
         : ranked[0];
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -11,6 +11,8 @@
   | 'overloaded'
   /** Slower at the moment than the entry expects of other targets. */
   | 'slow'
+  /** The workspace exceeds its fair share of a target without free capacity. */
+  | 'over-share'
   | 'deadline'
   | 'closed'
   | 'draining'
@@ -66,6 +68,7 @@
   'no-target',
   'overloaded',
   'slow',
+  'over-share',
   'deadline',
   'closed',
   'draining',
--- a/packages/relay/src/paced_targets.test.ts
+++ b/packages/relay/src/paced_targets.test.ts
@@ -51,7 +51,7 @@
     await run(5, RUN_MS, {});
     expect(getLastReply().pace).to.equal(undefined);
     expect(getLastReply().limit).to.equal(undefined);
-    target.offer(2_000, 0, true, 1);
+    target.offer(2_000, 0, true, {maxFinishMs: 1});
     expect(target.getRefusalReasons()).to.deep.equal([]);
   });
 
@@ -59,10 +59,10 @@
   // were slow by then.
   it('decline what others are expected to run sooner', async () => {
     await run(20, RUN_MS, {pace: '1'});
-    target.offer(2_000, 0, true, 2 * RUN_MS);
+    target.offer(2_000, 0, true, {maxFinishMs: 2 * RUN_MS});
     expect(target.getRefusalReasons()).to.deep.equal([]);
     await run(5, 5 * RUN_MS, {pace: '5'});
-    target.offer(2_000, 0, true, 2 * RUN_MS);
+    target.offer(2_000, 0, true, {maxFinishMs: 2 * RUN_MS});
     expect(target.getRefusalReasons()).to.deep.equal(['slow']);
     target.offer(2_000, 0);
     expect(target.getRefusalReasons()).to.have.length(1);
--- a/packages/relay/src/testing/scripted_target.ts
+++ b/packages/relay/src/testing/scripted_target.ts
@@ -140,7 +140,7 @@
     remainingMs: number,
     transitMs: number,
     isIdempotent = true,
-    maxFinishMs?: number,
+    fields: Partial<RelayFrameOf<'offer'>> = {},
   ): CallId {
     this.offerCount += 1;
     const callId = brandId<CallId>(String(this.offerCount));
@@ -162,7 +162,7 @@
       urgency: 1,
       isIdempotent,
       sentAtMs: performance.now() - transitMs,
-      maxFinishMs,
+      ...fields,
     });
     return callId;
   }
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -53,3 +53,20 @@
 export const MAX_SPILL_HOLD_MS = 1_000;
 /** Time without a reply after which figures of another data centre are stale. */
 export const SPILL_SILENCE_MS = 2_000;
+/** Half-life of the use and demand of workspaces and of the served shares of kinds. */
+export const SHARE_HALF_LIFE_MS = 2_000;
+/** Age up to which computed fair levels are used again. */
+export const FAIR_LEVEL_TTL_MS = 50;
+/**
+ * Part of the mean served share that each workspace and each priority gets in any
+ * case. The requirement is a quarter; the rest covers the delay of the averages.
+ */
+export const MIN_SERVED_PART = 0.3;
+/** Maximum number of workspaces with an account; an idle one is dropped first. */
+export const MAX_SHARE_ACCOUNTS = 4_096;
+/** Maximum number of kinds (urgencies) whose served share is tracked. */
+export const MAX_SHARE_KINDS = 256;
+/** Number of recent offers below which the served share of a kind says little. */
+export const MIN_KIND_OFFERS = 3;
+/** Longest wait that a refusal for exceeding the fair share names. */
+export const MAX_SHARE_WAIT_MS = 5_000;
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -5,21 +5,10 @@
  * that crash targets is left out.
  */
 
-import type {PublishedConfiguration} from '@cassiaknot/coordination';
 import {SeededRandom} from '@cassiaknot/coordination';
-import type {InstanceId, InventoryRecord} from '@cassiaknot/inventory';
-import {
-  RECORD_SCHEMA,
-  brandId,
-  compileRouteTable,
-  compileWorkspaceIndex,
-  newStateFromRecords,
-} from '@cassiaknot/inventory';
-import type {
-  GateAddress,
-  MemberRecord,
-  PeerAddress,
-} from '@cassiaknot/peer-protocol';
+import type {InstanceId} from '@cassiaknot/inventory';
+import {brandId} from '@cassiaknot/inventory';
+import type {GateAddress} from '@cassiaknot/peer-protocol';
 import type {
   CallerRequest,
   RelayObserver,
@@ -28,6 +17,7 @@
 import {SWEEP_INTERVAL_MS} from '@cassiaknot/relay';
 import {SlidingRetryBudget} from '@cassiaknot/routing';
 import type {Clock} from '@sinonjs/fake-timers';
+import {newConfiguration, toKey, toMember} from './model_configuration.js';
 import {ModelledInstance} from './modelled_instance.js';
 import type {
   RequestCounts,
@@ -35,6 +25,7 @@
   RequestKind,
   LoadScenario,
   TargetSpec,
+  WorkspaceSpec,
 } from './types.js';
 
 const MS_PER_SECOND = 1_000;
@@ -44,7 +35,6 @@
 const LINK_SETUP_MS = 200;
 /** Callers wait for Retry-After up to this share of their remaining deadline. */
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
-const MAX_ATTEMPTS = 2;
 const RETRY_BUDGET = {windowMs: 10_000, ratio: 0.2, allowance: 60};
 const OBSERVER: RelayObserver = {
   log: () => undefined,
@@ -60,6 +50,7 @@
 /** One simulation run. */
 export class LoadModel {
   private readonly countsByKind = new Map<string, RequestCounts>();
+  private readonly countsByWorkspace = new Map<string, RequestCounts>();
   private readonly instances: ModelledInstance[] = [];
   private readonly dataCentreByInstance = new Map<string, string>();
   /** Gate that answered each request, by request id. */
@@ -144,6 +135,11 @@
     request.reachedAtMs = performance.now();
   }
 
+  /** Returns the counts by workspace. */
+  getWorkspaceCounts(): ReadonlyMap<string, RequestCounts> {
+    return this.countsByWorkspace;
+  }
+
   private scheduleArrival(kind: RequestKind, startedAtMs: number): void {
     const elapsedMs = performance.now() - startedAtMs;
     if (elapsedMs >= this.scenario.lengthMs) return;
@@ -166,14 +162,20 @@
   }
 
   private async handleArrival(kind: RequestKind): Promise<void> {
-    const instance = this.chooseInstance();
+    const instance = this.pickInstance();
     if (!instance) return;
+    const workspace = this.pickWorkspace();
+    if (workspace) {
+      await this.followRetryAfter(kind, workspace);
+      return;
+    }
     this.getCounts(kind).offered += 1;
     const arrivedAtMs = performance.now();
     const progress: UnarrivedRequest = {reachedAtMs: undefined};
     const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
-    let outcome = await this.send(instance, kind, kind.deadlineMs, progress);
+    let outcome = await this.send(instance, kind, kind.deadlineMs, {progress});
     if (outcome.kind === 'refused') {
+      this.getCounts(kind).refusedAttempts += 1;
       const remainingMs = deadlineAtMs - performance.now();
       const retryDelayMs = Math.min(
         outcome.retryAfterMs,
@@ -181,7 +183,7 @@
       );
       await new Promise(resolve => setTimeout(resolve, retryDelayMs));
       const retryDeadlineMs = deadlineAtMs - performance.now();
-      outcome = await this.send(instance, kind, retryDeadlineMs, progress);
+      outcome = await this.send(instance, kind, retryDeadlineMs, {progress});
     }
     const reachedAtMs = progress.reachedAtMs ?? Infinity;
     if (reachedAtMs - arrivedAtMs > kind.objectiveMs / 2) {
@@ -191,7 +193,7 @@
   }
 
   // The demand of each data centre follows a sine around its share of the instances.
-  private chooseInstance(): ModelledInstance | undefined {
+  private pickInstance(): ModelledInstance | undefined {
     const {wave} = this.scenario;
     const {instances, random} = this;
     for (;;) {
@@ -206,6 +208,54 @@
     }
   }
 
+  private async followRetryAfter(
+    kind: RequestKind,
+    workspace: WorkspaceSpec,
+  ): Promise<void> {
+    const allCounts = [this.getCounts(kind), this.getWorkspace(workspace)];
+    for (const counts of allCounts) counts.offered += 1;
+    const arrivedAtMs = performance.now();
+    const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
+    const key = toKey(workspace);
+    const requestId = this.newRequestId();
+    for (;;) {
+      const instance = this.pickInstance();
+      if (!instance) return;
+      const remainingMs = deadlineAtMs - performance.now();
+      const sent = {key, requestId};
+      const outcome = await this.send(instance, kind, remainingMs, sent);
+      const nowMs = performance.now();
+      if (outcome.kind === 'refused') {
+        for (const counts of allCounts) counts.refusedAttempts += 1;
+        if (nowMs + outcome.retryAfterMs < deadlineAtMs) {
+          const {retryAfterMs} = outcome;
+          await new Promise(resolve => setTimeout(resolve, retryAfterMs));
+          continue;
+        }
+      }
+      for (const counts of allCounts) {
+        addOutcome(counts, kind, outcome, nowMs - arrivedAtMs);
+      }
+      return;
+    }
+  }
+
+  private pickWorkspace(): WorkspaceSpec | undefined {
+    const {workspaces} = this.scenario;
+    if (!workspaces) return undefined;
+    const sum = workspaces.reduce((total, {weight}) => total + weight, 0);
+    let left = this.random.next() * sum;
+    return workspaces.find(({weight}) => {
+      left -= weight;
+      return left < 0;
+    });
+  }
+
+  private newRequestId(): string {
+    this.requestCount += 1;
+    return String(this.requestCount);
+  }
+
   private async handleDownstreamCall(
     target: TargetSpec,
     call: DownstreamCall,
@@ -217,7 +267,7 @@
     const startedAtMs = performance.now();
     const timeoutMs = Math.min(remainingMs, kind.deadlineMs);
     const progress: UnarrivedRequest = {reachedAtMs: undefined};
-    const outcome = await this.send(instance, kind, timeoutMs, progress);
+    const outcome = await this.send(instance, kind, timeoutMs, {progress});
     const reachedAtMs = progress.reachedAtMs ?? Infinity;
     if (reachedAtMs - startedAtMs > kind.objectiveMs / 2) {
       this.getCounts(kind).slowToTarget += 1;
@@ -230,11 +280,14 @@
     instance: ModelledInstance,
     kind: RequestKind,
     timeoutMs: number,
-    progress: UnarrivedRequest,
+    sent: {
+      readonly key?: string;
+      readonly requestId?: string;
+      readonly progress?: UnarrivedRequest;
+    } = {},
   ): Promise<RelayOutcome> {
-    this.requestCount += 1;
-    const requestId = String(this.requestCount);
-    if (progress.reachedAtMs === undefined) {
+    const {key, requestId = this.newRequestId(), progress} = sent;
+    if (progress && progress.reachedAtMs === undefined) {
       this.unarrived.set(requestId, progress);
     }
     const request: CallerRequest = {
@@ -244,6 +297,7 @@
       path: `/${kind.name}/${requestId}`,
       headers: [],
       body: new Uint8Array(),
+      key,
       timeoutMs,
       receivedAtMs: performance.now(),
       signal: new AbortController().signal,
@@ -251,7 +305,6 @@
     };
     const outcome = await instance.entry.handle(request);
     this.unarrived.delete(requestId);
-    if (outcome.kind === 'refused') this.getCounts(kind).refusedAttempts += 1;
     const gate = this.answeringGates.get(requestId) ?? '';
     this.answeringGates.delete(requestId);
     const isRemote =
@@ -265,11 +318,16 @@
     outcome: RelayOutcome,
     durationMs: number,
   ): void {
-    const counts = this.getCounts(kind);
-    if (outcome.kind === 'refused') counts.refused += 1;
-    else if (!isSuccess(outcome)) counts.failed += 1;
-    else if (durationMs <= kind.objectiveMs) counts.inTime += 1;
-    else counts.late += 1;
+    addOutcome(this.getCounts(kind), kind, outcome, durationMs);
+  }
+
+  private getWorkspace({id}: WorkspaceSpec): RequestCounts {
+    let counts = this.countsByWorkspace.get(id);
+    if (!counts) {
+      counts = newRequestCounts();
+      this.countsByWorkspace.set(id, counts);
+    }
+    return counts;
   }
 
   private recordAnsweringGate(
@@ -323,65 +381,28 @@
   return outcome.kind === 'answered' && outcome.statusCode === 200;
 }
 
+function addOutcome(
+  counts: RequestCounts,
+  kind: RequestKind,
+  outcome: RelayOutcome,
+  durationMs: number,
+): void {
+  if (outcome.kind === 'refused') counts.refused += 1;
+  else if (!isSuccess(outcome)) counts.failed += 1;
+  else if (durationMs <= kind.objectiveMs) counts.inTime += 1;
+  else counts.late += 1;
+}
+
 function newRequestCounts(): RequestCounts {
   return {
     offered: 0,
     inTime: 0,
     late: 0,
     refused: 0,
+    refusedAttempts: 0,
     failed: 0,
     remote: 0,
-    refusedAttempts: 0,
     slowToTarget: 0,
     refusedOffers: 0,
   };
 }
-
-function toMember(target: TargetSpec): MemberRecord {
-  const {instanceId, dataCentreId} = target;
-  return {
-    instanceId,
-    dataCentreId,
-    incarnation: 1,
-    state: 'serving',
-    peerAddress: brandId<PeerAddress>(instanceId),
-    gateAddress: brandId<GateAddress>(instanceId),
-    heldVersion: 1,
-  };
-}
-
-function newConfiguration(scenario: LoadScenario): PublishedConfiguration {
-  const dataCentreIds = [...new Set(scenario.targets.map(t => t.dataCentreId))];
-  const serviceIds = [...new Set(scenario.targets.map(t => t.serviceId))];
-  const records: InventoryRecord[] = [
-    {kind: 'owner', id: 'o', contact: 'c'},
-    ...dataCentreIds.map(id => ({kind: 'data-centre', id, region: 'r'})),
-    ...serviceIds.map(id => ({
-      kind: 'service',
-      id,
-      ownerId: 'o',
-      dataCentreIds,
-    })),
-    ...scenario.kinds.map(toRule),
-  ].map(record => RECORD_SCHEMA.parse(record));
-  const state = newStateFromRecords(1, records);
-  return {
-    state,
-    routes: compileRouteTable(state),
-    workspaces: compileWorkspaceIndex(state),
-  };
-}
-
-function toRule(kind: RequestKind): unknown {
-  return {
-    kind: 'rule',
-    id: kind.name,
-    serviceId: kind.serviceId,
-    pathPrefix: `/${kind.name}/`,
-    isIdempotent: kind.isIdempotent,
-    maxAttempts: MAX_ATTEMPTS,
-    timeoutMs: kind.deadlineMs,
-    latencyObjectiveMs: kind.objectiveMs,
-    urgency: kind.urgency,
-  };
-}
--- a/packages/test-support/src/load_model/modelled_target.ts
+++ b/packages/test-support/src/load_model/modelled_target.ts
@@ -97,7 +97,7 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const {random} = this.environment;
-    const {slowdownFactor, knee, slowdownPerRun} = this.target;
+    const {slowdownFactor, knee = Infinity, slowdownPerRun = 0} = this.target;
     const excess = Math.max(0, this.runningCount - knee);
     const workMs =
       slowdownFactor *
--- a/packages/test-support/src/load_model/types.ts
+++ b/packages/test-support/src/load_model/types.ts
@@ -33,11 +33,11 @@
   /** Multiplier on the run time of each request; above 1 is slower. */
   readonly slowdownFactor: number;
   /** How the speed changes; undefined if it doesn't, and no pace is reported. */
-  readonly pace: PaceSpec | undefined;
+  readonly pace?: PaceSpec | undefined;
   /** Running requests from which on each further one slows all down. */
-  readonly knee: number;
+  readonly knee?: number;
   /** Slowdown by each request above the knee, as a share of the run time. */
-  readonly slowdownPerRun: number;
+  readonly slowdownPerRun?: number;
 }
 
 /** Changes of the speed of a target, which reports them. */
@@ -58,6 +58,13 @@
   readonly factor: number;
 }
 
+/** A workspace whose callers send requests. */
+export interface WorkspaceSpec {
+  readonly id: string;
+  /** Its requests, relative to those of other workspaces. */
+  readonly weight: number;
+}
+
 /** Input of one simulation run, apart from its seed. */
 export interface LoadScenario {
   /** Time during which callers send requests. */
@@ -68,7 +75,12 @@
   readonly kinds: readonly RequestKind[];
   readonly bursts: readonly LoadBurst[];
   /** Uneven demand between data centres; undefined if it is even. */
-  readonly wave: LoadWave | undefined;
+  readonly wave?: LoadWave | undefined;
+  /**
+   * Workspaces of the callers. Their callers come back after each refusal when they
+   * were told to, until their deadline; only called kinds need no key.
+   */
+  readonly workspaces?: readonly WorkspaceSpec[];
 }
 
 /**
@@ -91,12 +103,12 @@
   late: number;
   /** Refused at the last attempt. */
   refused: number;
+  /** Attempts that were refused, including those that were repeated. */
+  refusedAttempts: number;
   /** All other outcomes. */
   failed: number;
   /** Those in time or late that a target in another data centre answered. */
   remote: number;
-  /** Refusals of all attempts, also those that a retry made good. */
-  refusedAttempts: number;
   /** Those that took over half of the objective to reach a first target, or never did. */
   slowToTarget: number;
   /** Offers that gates refused. */
