--- a/packages/daemon/src/mesh/mesh_meter.ts
+++ b/packages/daemon/src/mesh/mesh_meter.ts
@@ -12,6 +12,10 @@
   getWaitingCount(): number;
   getRunningCount(): number;
   getOverShareCount(): number;
+  /** Requests that the target may run at a time, as learned. */
+  getTargetLimit(): number;
+  /** How long work takes at the target now; 1 as usual or if it doesn't say. */
+  getTargetPace(): number;
   getDroppedLogLineCount(): number;
   getLentWorkspaceCount(): number;
 }
@@ -71,6 +75,16 @@
         'Requests that the target runs',
         () => gauges.getRunningCount(),
       ],
+      [
+        'cassiaknot_target_limit',
+        'Requests that the target runs well at a time',
+        () => gauges.getTargetLimit(),
+      ],
+      [
+        'cassiaknot_target_pace',
+        'How long work takes at the target, 1 as usual',
+        () => gauges.getTargetPace(),
+      ],
       [
         'cassiaknot_workspaces_over_share',
         'Workspaces above their fair share while requests queue for the target',
--- a/packages/daemon/src/mesh/target_gauges.ts
+++ b/packages/daemon/src/mesh/target_gauges.ts
@@ -8,12 +8,18 @@
   localTarget: LocalTarget,
 ): Pick<
   MeshGauges,
-  'getWaitingCount' | 'getRunningCount' | 'getOverShareCount'
+  | 'getWaitingCount'
+  | 'getRunningCount'
+  | 'getOverShareCount'
+  | 'getTargetLimit'
+  | 'getTargetPace'
 > {
   const getSession = () => localTarget.getSession();
   return {
     getWaitingCount: () => getSession()?.getLoad().waiting ?? 0,
     getRunningCount: () => getSession()?.getLoad().running ?? 0,
+    getTargetLimit: () => getSession()?.getLimit() ?? 0,
+    getTargetPace: () => getSession()?.getLearnedLoad()?.pace ?? 1,
     getOverShareCount: () =>
       getSession()?.scheduler.countOverShare(performance.now()) ?? 0,
   };
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -11,7 +11,7 @@
   getRuleServiceIds,
   hasWorkspaces,
 } from '@cassiaknot/inventory';
-import {KeyedEwma, WeightedRoundRobin} from '@cassiaknot/routing';
+import {KeyedEwma, ServiceLoad, WeightedRoundRobin} from '@cassiaknot/routing';
 import {combineUrgency, dropHeaders, identifyCaller} from './authentication.js';
 import {
   DEFAULT_MAX_ATTEMPTS,
@@ -72,10 +72,20 @@
   /** Services whose targets have sent responses without a length, until a time. */
   private readonly unframedUntilMs = new Map<ServiceId, number>();
 
+  private readonly serviceLoads = new Map<ServiceId, ServiceLoad<RuleId>>();
   private readonly repeatedRequests = new RepeatedRequests();
 
   constructor(readonly options: RelayEntryOptions) {}
 
+  getServiceLoad(serviceId: ServiceId): ServiceLoad<RuleId> {
+    let load = this.serviceLoads.get(serviceId);
+    if (!load) {
+      load = new ServiceLoad();
+      this.serviceLoads.set(serviceId, load);
+    }
+    return load;
+  }
+
   /**
    * Whether a request may be passed on beside others of its connection: repeating it
    * is safe, and its response is not expected to close the connection.
--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -14,19 +14,20 @@
   RelayLink,
   RelayLinkEvents,
 } from '@cassiaknot/peer-protocol';
-import type {Job, JobPriority} from '@cassiaknot/routing';
+import type {Job} from '@cassiaknot/routing';
 import {TARGET_RESPONSE_GRACE_MS} from './constants.js';
 import type {CrashTracker} from './crash_suspects.js';
 import {CrashSuspects} from './crash_suspects.js';
 import type {EntryConnectionOptions} from './entry_connection.js';
 import {EntryConnection} from './entry_connection.js';
 import type {LoggedRefusal} from './gate_log.js';
-import {GateLog} from './gate_log.js';
 import {
-  findDecidingShare,
-  toReportedPriority,
-  toSharePriority,
-} from './gate_shares.js';
+  checkAdmission,
+  getLoadFields,
+  isSlowerThanOthers,
+} from './gate_admission.js';
+import {GateLog} from './gate_log.js';
+import {findDecidingShare, toSharePriority} from './gate_shares.js';
 import type {HeaderCodec} from './header_codec.js';
 import {PROCESS_MEMORY} from './held_memory.js';
 import type {LocalTarget} from './local_target.js';
@@ -35,8 +36,7 @@
 import type {ResponseHeaders, TargetExchange} from './target_client.js';
 import type {RelayTargetSession} from './target_session.js';
 import {StopLimit} from './stop_limit.js';
-import {checkAdmission} from './gate_admission.js';
-import type {Call, LoadFields, ReceivedOffer} from './gate_call.js';
+import type {Call, ReceivedOffer} from './gate_call.js';
 
 /** Dependencies of a {@link RelayGate}. */
 export interface RelayGateOptions extends EntryConnectionOptions {
@@ -45,9 +45,6 @@
   readonly crashTracker: CrashTracker;
 }
 
-/** Value of `runMs` in frames while the run time of the route is unknown. */
-const UNKNOWN_RUN_MS = -1;
-
 /** Admits requests to the target and reports their results to the entries. */
 export class RelayGate {
   private readonly connections = new Map<RelayLink, EntryConnection<Call>>();
@@ -106,7 +103,7 @@
       kind: 'target-state',
       serviceId: session?.getAnnouncement().serviceId ?? '',
       isAccepting: isOpen && !this.isStopping,
-      slots: session?.getLoad().slots ?? 0,
+      slots: session?.getAnnouncement().slots ?? 0,
       coldMs: session?.getWarmUpLeftMs() ?? 0,
       targetId: session?.getAnnouncement().targetId,
       startedAtMs: session?.getAnnouncement().startedAtMs,
@@ -199,6 +196,7 @@
     const {ruleId, objectiveMs, remainingMs} = offer;
     const job: Job = {
       ...toSharePriority(offer),
+      isFromElsewhere: offer.isFromElsewhere,
       expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
       objectiveAtMs: sentAtMs + offer.objectiveLeftMs,
       deadlineAtMs: sentAtMs + remainingMs,
@@ -220,6 +218,10 @@
       isSettled: false,
     };
     this.addCall(call);
+    if (isSlowerThanOthers(job, offer, session, nowMs)) {
+      this.settleRefusal(call, 'slow', false);
+      return;
+    }
     const result = session.scheduler.offer(job, nowMs);
     if (result.kind === 'refused') {
       this.settleRefusal(call, result.reason, false);
@@ -251,12 +253,31 @@
     clearTimeout(timer);
     call.bodyHolding?.release();
     const hasResponse = exchange.kind === 'response';
-    session.endRun(job, offer.ruleId, hasResponse);
+    this.endRun(call, exchange);
     const runMs = performance.now() - startedAtMs;
     if (hasResponse) this.options.observer.measure('target-run', runMs);
     this.settle(call, exchange);
   }
 
+  private endRun(call: Call, exchange: TargetExchange): void {
+    const {offer, session, job} = call;
+    const hasResponse = exchange.kind === 'response';
+    // A refusal takes much less time than a run, so it says nothing of run times.
+    const isRun = hasResponse && exchange.classification.kind === 'answer';
+    const pace = isRun ? this.recordPace(session, exchange.headers) : undefined;
+    const end = {hasResponse, isRun, pace};
+    this.log.logLimitDecision(session, session.endRun(job, offer.ruleId, end));
+  }
+
+  private recordPace(
+    session: RelayTargetSession,
+    headers: ResponseHeaders,
+  ): number | undefined {
+    const {pace} = this.options.headerCodec.parseTargetReport(headers);
+    if (pace !== undefined) session.recordPace(pace);
+    return pace;
+  }
+
   private buildTargetHeaders(call: Call, remainingMs: number): string[] {
     const {offer, session} = call;
     const {requestId, callerServiceId, workspaceId} = offer;
@@ -306,13 +327,17 @@
           body,
           isFramed: isFramed(headers),
           isTargetLeaving: session.hasLeft(),
-          ...this.getLoadFields(call),
+          ...getLoadFields(call),
         });
         return;
       case 'not-run':
         this.log.countTargetRefusal(classification);
         if (classification.isOtherInstance) session.markMisdirected();
-        else this.applyReport(session, headers);
+        else {
+          this.recordPace(session, headers);
+          this.log.logLimitDecision(session, session.recordRefusal());
+          this.applyReport(session, headers);
+        }
         this.settleRefusal(call, 'target-refused', true);
         return;
       case 'foreign':
@@ -351,7 +376,7 @@
 
   private sendRefusal(received: ReceivedOffer, refusal: LoggedRefusal): void {
     const {link, offer, session} = received;
-    const load = this.getLoadFields(received);
+    const load = getLoadFields(received);
     const share = findDecidingShare(
       received,
       refusal.reason,
@@ -370,7 +395,7 @@
       kind: 'loss',
       callId: offer.callId,
       reason,
-      ...this.getLoadFields(call),
+      ...getLoadFields(call),
     });
   }
 
@@ -378,22 +403,6 @@
     if (this.removeCall(call)) call.link.send(frame);
   }
 
-  private getLoadFields(received: ReceivedOffer): LoadFields {
-    const {session, offer, transitMs} = received;
-    if (!session) return {waitMs: 0, runMs: UNKNOWN_RUN_MS, transitMs};
-    const nowMs = performance.now();
-    const {ruleId, objectiveMs} = offer;
-    const candidate: JobPriority = {
-      ...toReportedPriority(offer),
-      expectedRunMs: session.estimateRunMs(ruleId, objectiveMs),
-      objectiveAtMs: nowMs + objectiveMs,
-      deadlineAtMs: nowMs + offer.remainingMs,
-    };
-    const waitMs = session.scheduler.estimateWaitMs(candidate, nowMs);
-    const runMs = session.getMeanRunMs(ruleId) ?? UNKNOWN_RUN_MS;
-    return {waitMs, runMs, transitMs};
-  }
-
   private handleConnectFailure(
     session: RelayTargetSession,
     isRefused: boolean,
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -178,6 +178,7 @@
       state => this.handleTargetState(instanceId, state),
       this.sendClock,
       grant => this.options.watcher?.onPermitGrant(grant),
+      dataCentreId,
     );
     const gate: KnownGate = {
       instanceId,
--- a/packages/relay/src/gate_link.ts
+++ b/packages/relay/src/gate_link.ts
@@ -20,6 +20,7 @@
   SWEEP_INTERVAL_MS,
 } from './constants.js';
 import type {LossReason} from './outcome.js';
+import {toLossReason} from './outcome.js';
 import type {TargetStart} from './target_announcement.js';
 import {isSameStart} from './target_announcement.js';
 import {SendClock} from './transit_delay.js';
@@ -68,6 +69,13 @@
   readonly atMs: number;
 }
 
+/** Pace of the target and requests that it runs well at a time. */
+interface PaceReport {
+  readonly pace: number;
+  readonly limit: number | undefined;
+  readonly atMs: number;
+}
+
 const NO_REPORT: WaitReport = {waitMs: 0, atMs: 0};
 
 /**
@@ -107,6 +115,8 @@
   private warmUpEndsAtMs = 0;
   /** Latest wait reported by the gate, by route. */
   private readonly waitReports = new Map<RuleId, WaitReport>();
+  /** Latest pace and limit of the target, if it reports its pace. */
+  private paceReport: PaceReport | undefined;
   private inFlightCount = 0;
   private failureRate = 0;
   private failureRateAtMs = 0;
@@ -122,6 +132,7 @@
     private readonly onPermitGrant: (
       grant: RelayFrameOf<'permit-grant'>,
     ) => void = () => undefined,
+    readonly dataCentreId = '',
   ) {}
 
   /** Returns the handlers for the transport that opens this link. */
@@ -224,8 +235,12 @@
       target: this,
       isSameDataCentre: this.isSameDataCentre,
       isSuspect: this.isSuspect(),
-      slots: this.targetState?.slots ?? 1,
+      slots: this.paceReport?.limit ?? this.targetState?.slots ?? 1,
       runMs: this.runTimes.get(ruleId),
+      pace: this.paceReport && {
+        pace: this.paceReport.pace,
+        ageMs: nowMs - this.paceReport.atMs,
+      },
       reportedWaitMs: report.waitMs,
       reportAgeMs: nowMs - report.atMs,
       inFlight: this.inFlightCount,
@@ -353,6 +368,11 @@
     if (runMs >= 0) this.runTimes.record(ruleId, runMs);
   }
 
+  private recordPace({pace, limit}: RelayFrameOf<'answer' | 'refusal'>): void {
+    if (pace === undefined) return;
+    this.paceReport = {pace, limit, atMs: this.lastReceivedAtMs};
+  }
+
   private recordWait(ruleId: RuleId, waitMs: number): void {
     if (this.waitReports.size >= MAX_WAIT_REPORTS) this.waitReports.clear();
     this.waitReports.set(ruleId, {waitMs, atMs: this.lastReceivedAtMs});
@@ -368,6 +388,7 @@
     if (reply.waitMs !== undefined && !isOverShare) {
       this.recordWait(call.ruleId, reply.waitMs);
     }
+    if (reply.kind !== 'loss') this.recordPace(reply);
     this.inFlightCount = Math.max(0, this.inFlightCount - 1);
     call.settle(reply);
   }
@@ -420,17 +441,3 @@
   const {waitMs} = frame;
   return {kind: 'loss', reason: toLossReason(frame.reason), waitMs};
 }
-
-const GATE_LOSS_REASONS: readonly LossReason[] = [
-  'target-lost',
-  'target-silent',
-  'answer-cut',
-  'answer-foreign',
-  'answer-too-large',
-  'timeout',
-  'cancelled',
-];
-
-function toLossReason(text: string): LossReason {
-  return GATE_LOSS_REASONS.find(reason => reason === text) ?? 'target-lost';
-}
--- a/packages/relay/src/observer.ts
+++ b/packages/relay/src/observer.ts
@@ -40,6 +40,10 @@
   | 'withdrawn'
   | 'target-refusal'
   | 'target-report'
+  /** A change of the number of requests that the target runs well at a time. */
+  | 'target-limit'
+  /** What is sent to other data centres, and what is held back. */
+  | 'spill'
   | 'announcement'
   /** Memory that was refused, or given up for others. */
   | 'memory'
--- a/packages/relay/src/outcome.ts
+++ b/packages/relay/src/outcome.ts
@@ -9,6 +9,8 @@
   | 'version-behind'
   | 'no-target'
   | 'overloaded'
+  /** Slower at the moment than the entry expects of other targets. */
+  | 'slow'
   /** The workspace exceeds its fair share of a target without free capacity. */
   | 'over-share'
   | 'deadline'
@@ -67,6 +69,7 @@
 const GATE_REFUSAL_REASONS: readonly RefusalReason[] = [
   'no-target',
   'overloaded',
+  'slow',
   'over-share',
   'deadline',
   'closed',
@@ -88,6 +91,21 @@
   return GATE_REFUSAL_REASONS.find(reason => reason === text) ?? 'no-target';
 }
 
+const GATE_LOSS_REASONS: readonly LossReason[] = [
+  'target-lost',
+  'target-silent',
+  'answer-cut',
+  'answer-foreign',
+  'answer-too-large',
+  'timeout',
+  'cancelled',
+];
+
+/** Parses the reason of a loss; an unknown one is read as `target-lost`. */
+export function toLossReason(text: string): LossReason {
+  return GATE_LOSS_REASONS.find(reason => reason === text) ?? 'target-lost';
+}
+
 /** Creates the outcome of a refused request. */
 export function newRefusal(
   reason: RefusalReason,
--- a/packages/relay/src/routed_request.ts
+++ b/packages/relay/src/routed_request.ts
@@ -5,21 +5,16 @@
 
 import {QUARANTINE_TTL_MS} from '@cassiaknot/coordination';
 import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
-import type {TargetEstimate} from '@cassiaknot/routing';
+import type {SpillWindow} from '@cassiaknot/routing';
+import {DEFAULT_RUN_TIME_SHARE, MIN_RUN_TIME_SHARE} from '@cassiaknot/routing';
 import {
-  DEFAULT_RUN_TIME_SHARE,
-  MIN_RUN_TIME_SHARE,
-  rankTargets,
-} from '@cassiaknot/routing';
-import {
-  BOUNDED_WAIT_SHARE,
-  MAX_BOUNDED_OFFERS,
   MIN_RETRY_AFTER_MS,
   REPLY_GRACE_MS,
   RETRY_AFTER_MS,
-  WAIT_REPORT_TTL_MS,
 } from './constants.js';
 import type {CallerRequest, EntryContext, RoutePlan} from './entry_types.js';
+import type {ChosenGate} from './gate_choice.js';
+import {GateChoice} from './gate_choice.js';
 import type {GateLink, GateReply, PendingCall} from './gate_link.js';
 import type {LogFields} from './observer.js';
 import type {RefusalReason, RelayOutcome} from './outcome.js';
@@ -48,18 +43,10 @@
 
 /** State of one request while it is being routed. */
 export class RoutedRequest {
-  /** Gates that were tried, or skipped as overloaded. */
-  private readonly excludedGates = new Set<GateLink>();
-  /**
-   * Overloaded gates that could still serve the request before its deadline, with
-   * the expected wait that they reported.
-   */
-  private readonly overloadedGates = new Map<GateLink, number>();
+  private readonly choice: GateChoice;
   private readonly deadlineAtMs: number;
   /** Number of attempts that reached a target, or may have. */
   private arrivalCount = 0;
-  /** Number of accepting gates when a gate was last chosen. */
-  private acceptingGateCount = 0;
   /** Number of gates tried, including those whose link failed verification. */
   private offerCount = 0;
   /** Offer whose reply is awaited. */
@@ -73,8 +60,6 @@
   private readonly shareRefusals = new ShareRefusals();
   private lastRefusal: RefusalReason = 'no-target';
   private isFinished = false;
-  /** Whether the least loaded gate was offered a wait until the deadline. */
-  private hasOfferedToLeastLoaded = false;
 
   constructor(
     private readonly entry: EntryContext,
@@ -86,6 +71,7 @@
       plan.timeoutMs,
     );
     this.deadlineAtMs = request.receivedAtMs + timeoutMs;
+    this.choice = new GateChoice(entry, plan, this.shareRefusals);
   }
 
   /** Whether the request is certain to have its response by the given time. */
@@ -139,7 +125,7 @@
       gate: this.lastGate?.instanceId,
       offers: this.offerCount,
       arrivals: this.arrivalCount,
-      acceptingGates: this.acceptingGateCount,
+      acceptingGates: this.choice.acceptingGateCount,
       shareRefusals: this.shareRefusals.getCount() || undefined,
     };
   }
@@ -158,7 +144,7 @@
     for (;;) {
       const choice = this.chooseGate();
       if (!choice) return fallback ?? this.getRefusalOutcome();
-      const reply = await this.attempt(choice.link, choice.maxWaitMs);
+      const reply = await this.attempt(choice);
       if (!reply) continue;
       const outcome = this.handleReply(choice.link, reply);
       if (!outcome) continue;
@@ -169,8 +155,8 @@
     }
   }
 
-  private chooseGate(): {link: GateLink; maxWaitMs: number} | undefined {
-    const {plan, entry} = this;
+  private chooseGate(): ChosenGate | undefined {
+    const {plan, entry, offerCount} = this;
     const remainingMs = this.getRemainingMs();
     if (this.isFinished || remainingMs <= 0) return undefined;
     if (!this.shareRefusals.mayOffer()) return undefined;
@@ -181,65 +167,20 @@
       this.lastRefusal = 'deadline';
       return undefined;
     }
-    if (this.offerCount < MAX_BOUNDED_OFFERS) {
-      const accepting = entry.options.directory.findAccepting(plan.serviceId);
-      this.acceptingGateCount = accepting.length;
-      const estimates = accepting
-        .filter(link => !this.excludedGates.has(link))
-        .map(link => link.estimate(plan.ruleId))
-        .filter(estimate => !this.skipIfOverloaded(estimate));
-      const {objectiveMs} = plan;
-      const candidates = this.shareRefusals.selectCandidates(estimates);
-      const [best] = rankTargets(candidates, {meanRunMs, objectiveMs});
-      if (best) {
-        // A sole candidate may queue the request until its deadline.
-        const maxWaitMs =
-          estimates.length === 1 && this.overloadedGates.size === 0
-            ? remainingMs
-            : BOUNDED_WAIT_SHARE * objectiveMs;
-        return {link: best.target, maxWaitMs};
-      }
-    }
-    if (this.hasOfferedToLeastLoaded) return undefined;
-    this.hasOfferedToLeastLoaded = true;
-    const link = this.findLeastLoaded();
-    return link && {link, maxWaitMs: remainingMs};
-  }
-
-  // Skips a gate that has just reported a long wait: under overload, the offers
-  // themselves would use up the CPU.
-  private skipIfOverloaded(estimate: TargetEstimate<GateLink>): boolean {
-    const {reportedWaitMs, reportAgeMs, target} = estimate;
-    if (reportAgeMs > WAIT_REPORT_TTL_MS) return false;
-    if (reportedWaitMs <= BOUNDED_WAIT_SHARE * this.plan.objectiveMs) {
-      return false;
-    }
-    this.excludedGates.add(target);
-    this.lastRefusal = 'overloaded';
-    const runMs = estimate.runMs ?? 0;
-    if (reportedWaitMs + runMs <= this.getRemainingMs()) {
-      this.overloadedGates.set(target, reportedWaitMs);
-    }
-    return true;
+    const objectiveLeftMs = this.getObjectiveLeftMs();
+    const context = {meanRunMs, remainingMs, objectiveLeftMs, offerCount};
+    const chosen = this.choice.next(context);
+    if (this.choice.hasSkippedOverloaded) this.lastRefusal = 'overloaded';
+    return chosen;
   }
 
-  private findLeastLoaded(): GateLink | undefined {
-    let best: GateLink | undefined;
-    let bestWaitMs = Infinity;
-    for (const [link, waitMs] of this.overloadedGates) {
-      if (waitMs >= bestWaitMs || !link.getTargetState()?.isAccepting) continue;
-      best = link;
-      bestWaitMs = waitMs;
-    }
-    return best;
-  }
-
-  private async attempt(
-    link: GateLink,
-    maxWaitMs: number,
-  ): Promise<GateReply | undefined> {
+  private async attempt({
+    link,
+    maxWaitMs,
+    maxFinishMs,
+  }: ChosenGate): Promise<GateReply | undefined> {
     const {plan, request, entry} = this;
-    this.excludedGates.add(link);
+    this.choice.exclude(link);
     this.lastGate = link;
     this.offerCount += 1;
     this.shareRefusals.recordOffer();
@@ -265,23 +206,52 @@
       callerServiceId: entry.options.getCallerServiceId(),
       remainingMs: Math.max(0, this.getRemainingMs()),
       maxWaitMs,
+      maxFinishMs,
+      isFromElsewhere: this.choice.findSpillWindow(link) ? true : undefined,
       objectiveMs: plan.objectiveMs,
-      objectiveLeftMs:
-        request.receivedAtMs + plan.objectiveMs - performance.now(),
+      objectiveLeftMs: this.getObjectiveLeftMs(),
       urgency: plan.urgency,
       isIdempotent: plan.isIdempotent,
       workspaceId: plan.workspace?.id,
     });
+    const spill = this.choice.findSpillWindow(link);
+    spill?.recordOffer();
     this.pendingOffer = {link, call};
     const reply = await Promise.race([
       call.reply,
       call.silence.then(() => LINK_SILENT),
     ]);
     this.pendingOffer = undefined;
+    if (spill) this.recordSpill(spill, link, reply);
     if (reply === LINK_SILENT) this.silentCalls.add(link, call);
     return reply;
   }
 
+  private recordSpill(
+    spill: SpillWindow,
+    link: GateLink,
+    reply: GateReply,
+  ): void {
+    const {observer} = this.entry.options;
+    const nowMs = performance.now();
+    if (reply.kind === 'answer') {
+      observer.count('spill', 'answered');
+      spill.recordAnswer(nowMs);
+    } else if (reply.kind === 'refusal' && reply.reason === 'overloaded') {
+      observer.count('spill', 'refused');
+      const holdMs = spill.recordRefusal(reply.waitMs, nowMs);
+      const {dataCentreId} = link;
+      this.logEvent('spill-held', link, {
+        dataCentreId,
+        holdMs: Math.round(holdMs),
+        waitMs: Math.round(reply.waitMs),
+      });
+    } else {
+      observer.count('spill', 'other');
+      spill.recordOther();
+    }
+  }
+
   /** Returns the outcome, or undefined if the next gate should be tried. */
   private handleReply(
     link: GateLink,
@@ -314,11 +284,24 @@
     const {statusCode, headers, body, isFramed, runMs} = reply;
     const {ruleId} = this.plan;
     link.recordOutcome(statusCode >= MIN_SERVER_ERROR_STATUS);
-    link.recordRunTime(ruleId, runMs);
+    const {pace = 1} = reply;
+    link.recordRunTime(ruleId, runMs / pace);
+    this.recordLoad(reply);
     if (runMs >= 0) this.entry.runTimes.record(ruleId, runMs);
     return {kind: 'answered', statusCode, headers, body, isFramed};
   }
 
+  private recordLoad({
+    waitMs,
+    runMs,
+    pace,
+  }: RelayFrameOf<'answer' | 'refusal'>): void {
+    if (pace === undefined) return;
+    const {ruleId, serviceId} = this.plan;
+    const load = this.entry.getServiceLoad(serviceId);
+    load.record(ruleId, {waitMs, runMs, pace});
+  }
+
   private handleRefusal(
     link: GateLink,
     reply: RelayFrameOf<'refusal'>,
@@ -327,9 +310,9 @@
     this.lastRefusal = reason;
     if (reason === 'quarantined') return this.getRefusalOutcome();
     if (reason === 'over-share') this.shareRefusals.recordRefusal(reply.waitMs);
-    const finishMs = reply.waitMs + Math.max(0, reply.runMs);
-    if (reason === 'overloaded' && finishMs <= this.getRemainingMs()) {
-      this.overloadedGates.set(link, reply.waitMs);
+    this.recordLoad(reply);
+    if (isForLoad(reason)) {
+      this.choice.recordOverload(link, reply, this.getRemainingMs());
     }
     if (!reply.hasArrived) return undefined;
     // The target itself refused the request, so this attempt is an arrival.
@@ -373,19 +356,14 @@
     }
     if (reason === 'quarantined') return newRefusal(reason, QUARANTINE_TTL_MS);
     const isOverShare = this.shareRefusals.getCount() > 0;
-    if (reason !== 'overloaded' && !isOverShare) {
+    if (!isForLoad(reason) && !isOverShare) {
       return newRefusal(reason, RETRY_AFTER_MS);
     }
     if (isOverShare) {
       return this.refuseUntil('over-share', this.shareRefusals.getWaitMs());
     }
-    let waitMs = Infinity;
-    for (const link of this.excludedGates) {
-      waitMs = Math.min(waitMs, link.estimate(this.plan.ruleId).reportedWaitMs);
-    }
-    if (this.plan.workspace && Number.isFinite(waitMs)) {
-      return this.refuseUntil(reason, waitMs);
-    }
+    const waitMs = this.choice.getShortestWaitMs() ?? RETRY_AFTER_MS;
+    if (this.plan.workspace) return this.refuseUntil(reason, waitMs);
     return newRefusal(reason, Math.max(MIN_RETRY_AFTER_MS, waitMs * jitter));
   }
 
@@ -409,6 +387,11 @@
     return {kind: 'lost', reason: 'timeout'};
   }
 
+  private getObjectiveLeftMs(): number {
+    const {request, plan} = this;
+    return request.receivedAtMs + plan.objectiveMs - performance.now();
+  }
+
   private getRemainingMs(): number {
     return this.deadlineAtMs - performance.now();
   }
@@ -432,3 +415,7 @@
     });
   }
 }
+
+function isForLoad(reason: RefusalReason): boolean {
+  return reason === 'overloaded' || reason === 'slow';
+}
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -17,6 +17,11 @@
 export const MIN_RUN_TIME_SHARE = 0.4;
 /** Factor on run times during the warm-up of a target. */
 export const WARM_UP_RUN_TIME_FACTOR = 2;
+/**
+ * Penalty for a target in another data centre if targets report their pace. It
+ * applies only where the own data centre may miss the objective, so it is small.
+ */
+export const PACED_REMOTE_PENALTY_SHARE = 0.1;
 /** Penalty at a failure rate of 1, as a multiple of the latency objective. */
 export const FAILURE_PENALTY_FACTOR = 2;
 /** Factor on the expected run time that covers most of the spread of runs. */
@@ -35,6 +40,19 @@
 export const MIN_STARTS_PER_SECOND = 0.5;
 /** Share of the mean run time of running jobs below which a job is short. */
 export const SHORT_RUN_SHARE = 0.5;
+/** Time over which reports of a pace are averaged. */
+export const PACE_SMOOTHING_MS = 100;
+/** Half-life of the difference between a reported pace and the mean. */
+export const PACE_HALF_LIFE_MS = 300;
+/** Requests to another data centre that an entry sends before it has answers. */
+export const INITIAL_SPILL_WINDOW = 4;
+/** Most requests to a service in another data centre that an entry has in flight. */
+export const MAX_SPILL_WINDOW = 64;
+/** Limits of the time without requests to a data centre that has refused one. */
+export const MIN_SPILL_HOLD_MS = 20;
+export const MAX_SPILL_HOLD_MS = 1_000;
+/** Time without a reply after which figures of another data centre are stale. */
+export const SPILL_SILENCE_MS = 2_000;
 /** Half-life of the use and demand of workspaces and of the served shares of kinds. */
 export const SHARE_HALF_LIFE_MS = 2_000;
 /** Age up to which computed fair levels are used again. */
--- a/packages/routing/src/job.ts
+++ b/packages/routing/src/job.ts
@@ -22,6 +22,8 @@
   readonly objectiveAtMs: number;
   /** Time at which the caller stops waiting. */
   readonly deadlineAtMs: number;
+  /** Whether its caller is in another data centre; those of the own come first. */
+  readonly isFromElsewhere?: boolean | undefined;
 }
 
 /** A request for a slot. */
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -18,5 +18,9 @@
     return left.job.urgency - right.job.urgency;
   }
   if (left.isInTime !== right.isInTime) return left.isInTime ? -1 : 1;
+  const isLeftFromElsewhere = left.job.isFromElsewhere === true;
+  if (isLeftFromElsewhere !== (right.job.isFromElsewhere === true)) {
+    return isLeftFromElsewhere ? 1 : -1;
+  }
   return left.isInTime ? left.job.expectedRunMs - right.job.expectedRunMs : 0;
 }
--- a/packages/test-support/src/load_model/fair_shares.test.ts
+++ b/packages/test-support/src/load_model/fair_shares.test.ts
@@ -101,6 +101,8 @@
     refusedAttempts: 0,
     failed: 0,
     remote: 0,
+    slowToTarget: 0,
+    refusedOffers: 0,
   };
   for (const [id, {offered, inTime, late, ...others}] of counts) {
     if (!isSelected(id)) continue;
--- a/packages/test-support/src/load_model/load_model.ts
+++ b/packages/test-support/src/load_model/load_model.ts
@@ -5,22 +5,10 @@
  * that crash targets is left out.
  */
 
-import type {PublishedConfiguration} from '@cassiaknot/coordination';
 import {SeededRandom} from '@cassiaknot/coordination';
-import type {InstanceId, InventoryRecord} from '@cassiaknot/inventory';
-import {
-  RECORD_SCHEMA,
-  brandId,
-  compileRouteTable,
-  compileWorkspaceIndex,
-  digestText,
-  newStateFromRecords,
-} from '@cassiaknot/inventory';
-import type {
-  GateAddress,
-  MemberRecord,
-  PeerAddress,
-} from '@cassiaknot/peer-protocol';
+import type {InstanceId} from '@cassiaknot/inventory';
+import {brandId} from '@cassiaknot/inventory';
+import type {GateAddress} from '@cassiaknot/peer-protocol';
 import type {
   CallerRequest,
   RelayObserver,
@@ -29,6 +17,7 @@
 import {SWEEP_INTERVAL_MS} from '@cassiaknot/relay';
 import {SlidingRetryBudget} from '@cassiaknot/routing';
 import type {Clock} from '@sinonjs/fake-timers';
+import {newConfiguration, toKey, toMember} from './model_configuration.js';
 import {ModelledInstance} from './modelled_instance.js';
 import type {
   RequestCounts,
@@ -46,7 +35,6 @@
 const LINK_SETUP_MS = 200;
 /** Callers wait for Retry-After up to this share of their remaining deadline. */
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
-const MAX_ATTEMPTS = 2;
 const RETRY_BUDGET = {windowMs: 10_000, ratio: 0.2, allowance: 60};
 const OBSERVER: RelayObserver = {
   log: () => undefined,
@@ -54,6 +42,11 @@
   measure: () => undefined,
 };
 
+/** A request on its way to a first target. */
+interface UnarrivedRequest {
+  reachedAtMs: number | undefined;
+}
+
 /** One simulation run. */
 export class LoadModel {
   private readonly countsByKind = new Map<string, RequestCounts>();
@@ -64,6 +57,10 @@
   private readonly answeringGates = new Map<string, string>();
   private readonly random: SeededRandom;
   private requestCount = 0;
+  /** When a caller first sent each request that has not reached a target yet. */
+  private readonly unarrived = new Map<string, UnarrivedRequest>();
+  private readonly arrivalsByTarget = new Map<TargetSpec, number>();
+  private startedAtMs = 0;
 
   constructor(
     private readonly scenario: LoadScenario,
@@ -81,6 +78,7 @@
         retryBudget: new SlidingRetryBudget(RETRY_BUDGET),
         random: () => this.random.next(),
         observer: {...OBSERVER, log: this.recordAnsweringGate.bind(this)},
+        recordArrival: this.recordArrival.bind(this),
         findKind: path => this.findKind(path.split('/')[1] ?? ''),
         findGate: address => this.findGate(target, address),
         call: this.handleDownstreamCall.bind(this),
@@ -99,6 +97,7 @@
     }
     await this.clock.tickAsync(LINK_SETUP_MS);
     const startedAtMs = performance.now();
+    this.startedAtMs = startedAtMs;
     for (const kind of this.scenario.kinds) {
       this.countsByKind.set(kind.name, newRequestCounts());
       if (kind.perSecond > 0) this.scheduleArrival(kind, startedAtMs);
@@ -110,6 +109,32 @@
     return this.countsByKind;
   }
 
+  /** Returns the ratio of the busiest target to the mean, by service. */
+  getImbalance(): ReadonlyMap<string, number> {
+    const arrivals = new Map<string, number[]>();
+    for (const target of this.scenario.targets) {
+      const counts = arrivals.get(target.serviceId) ?? [];
+      counts.push(this.arrivalsByTarget.get(target) ?? 0);
+      arrivals.set(target.serviceId, counts);
+    }
+    const ratios = new Map<string, number>();
+    for (const [serviceId, counts] of arrivals) {
+      const sum = counts.reduce((total, count) => total + count, 0);
+      ratios.set(serviceId, (Math.max(...counts) * counts.length) / sum);
+    }
+    return ratios;
+  }
+
+  private recordArrival(target: TargetSpec, path: string): void {
+    const count = this.arrivalsByTarget.get(target) ?? 0;
+    this.arrivalsByTarget.set(target, count + 1);
+    const requestId = path.split('/')[2] ?? '';
+    const request = this.unarrived.get(requestId);
+    if (!request) return;
+    this.unarrived.delete(requestId);
+    request.reachedAtMs = performance.now();
+  }
+
   /** Returns the counts by workspace. */
   getWorkspaceCounts(): ReadonlyMap<string, RequestCounts> {
     return this.countsByWorkspace;
@@ -146,8 +171,9 @@
     }
     this.getCounts(kind).offered += 1;
     const arrivedAtMs = performance.now();
+    const progress: UnarrivedRequest = {reachedAtMs: undefined};
     const deadlineAtMs = arrivedAtMs + kind.deadlineMs;
-    let outcome = await this.send(instance, kind, kind.deadlineMs);
+    let outcome = await this.send(instance, kind, kind.deadlineMs, {progress});
     if (outcome.kind === 'refused') {
       this.getCounts(kind).refusedAttempts += 1;
       const remainingMs = deadlineAtMs - performance.now();
@@ -157,11 +183,31 @@
       );
       await new Promise(resolve => setTimeout(resolve, retryDelayMs));
       const retryDeadlineMs = deadlineAtMs - performance.now();
-      outcome = await this.send(instance, kind, retryDeadlineMs);
+      outcome = await this.send(instance, kind, retryDeadlineMs, {progress});
+    }
+    const reachedAtMs = progress.reachedAtMs ?? Infinity;
+    if (reachedAtMs - arrivedAtMs > kind.objectiveMs / 2) {
+      this.getCounts(kind).slowToTarget += 1;
     }
     this.recordOutcome(kind, outcome, performance.now() - arrivedAtMs);
   }
 
+  // The demand of each data centre follows a sine around its share of the instances.
+  private pickInstance(): ModelledInstance | undefined {
+    const {wave} = this.scenario;
+    const {instances, random} = this;
+    for (;;) {
+      const instance = instances[Math.floor(random.next() * instances.length)];
+      if (!wave || !instance) return instance;
+      const ids = [...new Set(this.dataCentreByInstance.values())];
+      const index = ids.indexOf(instance.target.dataCentreId);
+      const elapsedMs = performance.now() - this.startedAtMs;
+      const turns = elapsedMs / wave.periodMs + index / ids.length;
+      const demand = 1 + wave.share * Math.sin(2 * Math.PI * turns);
+      if (random.next() * (1 + wave.share) < demand) return instance;
+    }
+  }
+
   private async followRetryAfter(
     kind: RequestKind,
     workspace: WorkspaceSpec,
@@ -194,11 +240,6 @@
     }
   }
 
-  private pickInstance(): ModelledInstance | undefined {
-    const index = Math.floor(this.random.next() * this.instances.length);
-    return this.instances[index];
-  }
-
   private pickWorkspace(): WorkspaceSpec | undefined {
     const {workspaces} = this.scenario;
     if (!workspaces) return undefined;
@@ -225,7 +266,12 @@
     this.getCounts(kind).offered += 1;
     const startedAtMs = performance.now();
     const timeoutMs = Math.min(remainingMs, kind.deadlineMs);
-    const outcome = await this.send(instance, kind, timeoutMs);
+    const progress: UnarrivedRequest = {reachedAtMs: undefined};
+    const outcome = await this.send(instance, kind, timeoutMs, {progress});
+    const reachedAtMs = progress.reachedAtMs ?? Infinity;
+    if (reachedAtMs - startedAtMs > kind.objectiveMs / 2) {
+      this.getCounts(kind).slowToTarget += 1;
+    }
     this.recordOutcome(kind, outcome, performance.now() - startedAtMs);
     return isSuccess(outcome);
   }
@@ -234,9 +280,16 @@
     instance: ModelledInstance,
     kind: RequestKind,
     timeoutMs: number,
-    sent: {readonly key?: string; readonly requestId?: string} = {},
+    sent: {
+      readonly key?: string;
+      readonly requestId?: string;
+      readonly progress?: UnarrivedRequest;
+    } = {},
   ): Promise<RelayOutcome> {
-    const {key, requestId = this.newRequestId()} = sent;
+    const {key, requestId = this.newRequestId(), progress} = sent;
+    if (progress && progress.reachedAtMs === undefined) {
+      this.unarrived.set(requestId, progress);
+    }
     const request: CallerRequest = {
       requestId,
       method: kind.isIdempotent ? 'GET' : 'POST',
@@ -251,6 +304,7 @@
       serveUntilMs: Infinity,
     };
     const outcome = await instance.entry.handle(request);
+    this.unarrived.delete(requestId);
     const gate = this.answeringGates.get(requestId) ?? '';
     this.answeringGates.delete(requestId);
     const isRemote =
@@ -277,8 +331,12 @@
   }
 
   private recordAnsweringGate(
-    ...[, , event, fields]: Parameters<RelayObserver['log']>
+    ...[, component, event, fields]: Parameters<RelayObserver['log']>
   ): void {
+    if (component === 'gate' && event === 'refused') {
+      const kind = this.findKind(String(fields['ruleId']));
+      this.getCounts(kind).refusedOffers += 1;
+    }
     if (event !== 'answered') return;
     this.answeringGates.set(
       String(fields['requestId']),
@@ -344,64 +402,7 @@
     refusedAttempts: 0,
     failed: 0,
     remote: 0,
-  };
-}
-
-function toKey({id}: WorkspaceSpec): string {
-  return `key-of-${id}`;
-}
-
-function toMember(target: TargetSpec): MemberRecord {
-  const {instanceId, dataCentreId} = target;
-  return {
-    instanceId,
-    dataCentreId,
-    incarnation: 1,
-    state: 'serving',
-    peerAddress: brandId<PeerAddress>(instanceId),
-    gateAddress: brandId<GateAddress>(instanceId),
-    heldVersion: 1,
-  };
-}
-
-function newConfiguration(scenario: LoadScenario): PublishedConfiguration {
-  const dataCentreIds = [...new Set(scenario.targets.map(t => t.dataCentreId))];
-  const serviceIds = [...new Set(scenario.targets.map(t => t.serviceId))];
-  const records: InventoryRecord[] = [
-    {kind: 'owner', id: 'o', contact: 'c'},
-    ...dataCentreIds.map(id => ({kind: 'data-centre', id, region: 'r'})),
-    ...serviceIds.map(id => ({
-      kind: 'service',
-      id,
-      ownerId: 'o',
-      dataCentreIds,
-    })),
-    ...scenario.kinds.map(kind => toRule(kind, scenario)),
-    ...(scenario.workspaces ?? []).map(workspace => ({
-      kind: 'workspace',
-      id: workspace.id,
-      keyDigests: [digestText(toKey(workspace))],
-    })),
-  ].map(record => RECORD_SCHEMA.parse(record));
-  const state = newStateFromRecords(1, records);
-  return {
-    state,
-    routes: compileRouteTable(state),
-    workspaces: compileWorkspaceIndex(state),
-  };
-}
-
-function toRule(kind: RequestKind, {workspaces}: LoadScenario): unknown {
-  return {
-    ...(workspaces ? {isPublic: kind.perSecond === 0} : {}),
-    kind: 'rule',
-    id: kind.name,
-    serviceId: kind.serviceId,
-    pathPrefix: `/${kind.name}/`,
-    isIdempotent: kind.isIdempotent,
-    maxAttempts: MAX_ATTEMPTS,
-    timeoutMs: kind.deadlineMs,
-    latencyObjectiveMs: kind.objectiveMs,
-    urgency: kind.urgency,
+    slowToTarget: 0,
+    refusedOffers: 0,
   };
 }
