--- a/packages/coordination/src/coordinator_options.ts
+++ b/packages/coordination/src/coordinator_options.ts
@@ -1,6 +1,6 @@
 /** Options and dependencies of a {@link Coordinator}. */
 
-import type {DataCentreId, InstanceId, ServiceId} from '@cassiaknot/inventory';
+import type {DataCentreId, InstanceId} from '@cassiaknot/inventory';
 import type {
   GateAddress,
   PeerAddress,
@@ -18,8 +18,6 @@
   readonly gateAddress: GateAddress;
   /** Bandwidth of the network link of this instance, if known. */
   readonly linkMbps?: number;
-  /** Service of the target beside this daemon, if it is known at the start. */
-  readonly serviceId?: ServiceId;
 }
 
 /** Topology of the overlay. */
--- a/packages/daemon/src/mesh/mesh_daemon.ts
+++ b/packages/daemon/src/mesh/mesh_daemon.ts
@@ -122,7 +122,7 @@
     this.startedAtMs = performance.now();
     await this.relayTransport.listen(
       identity.gateAddress,
-      this.gateDirectory.countAccepted(this.getGateEvents()),
+      this.getGateEvents(),
     );
     await this.coordinator.start();
     await this.callerServer.listen(callerAddress.host, callerAddress.port);
@@ -314,9 +314,8 @@
       tokenBucket,
       this.controlMeter.newStoreObserver('coordination'),
     );
-    const serviceId = brandId<ServiceId>(this.options.getCallerServiceId());
     return new Coordinator({
-      identity: serviceId === '' ? identity : {...identity, serviceId},
+      identity,
       overlay: {...MESH_OVERLAY, fallbackSeeds},
       timing: MESH_TIMING,
       transport: new WebSocketTransport(this.controlMeter),
--- a/packages/peer-protocol/src/member_record.ts
+++ b/packages/peer-protocol/src/member_record.ts
@@ -67,11 +67,6 @@
    * the members that open links to other data centres.
    */
   unreachable: z.array(DATA_CENTRE_ID_SCHEMA).optional(),
-  /**
-   * Service of the target beside this member, as its settings say; tells which gates
-   * are worth a link. Absent in records that older daemons have passed on.
-   */
-  serviceId: SERVICE_ID_SCHEMA.optional(),
 });
 
 export type MemberState = z.infer<typeof MEMBER_STATE_SCHEMA>;
--- a/packages/relay/src/constants.ts
+++ b/packages/relay/src/constants.ts
@@ -69,27 +69,6 @@
 export const LINK_ABORT_AFTER_MS = 1_500;
 /** Links to gates that are opened at once; each handshake delays the event loop. */
 export const MAX_PENDING_DIALS = 8;
-/**
- * Time after the start of a daemon in which links that no caller needs are paced: when
- * all daemons start at once, opening all links takes more than the processor gives.
- */
-export const START_PACE_MS = 10_000;
-/** Links opened together in that time; small meshes have no more. */
-export const LINK_BURST = 8;
-/** Mean interval of links then; opening one and accepting one takes 3 ms together. */
-export const LINK_INTERVAL_MS = 100;
-/** Accepted links that hold up the own dials, at most. */
-export const MAX_LINK_DEBT = 4;
-/** Links to gates of a service that are opened at once when callers need it. */
-export const LINKS_PER_SERVICE = 6;
-/** Further links after a request that the open ones could not serve. */
-export const MORE_LINKS = 4;
-/** Longest wait of a request for the first link to a gate of its service. */
-export const MAX_LINK_WAIT_MS = 1_000;
-/** Part of a request's remaining time that it may wait for a link. */
-export const LINK_WAIT_SHARE = 0.5;
-/** Time after the start in which further members are expected to become known. */
-export const MEMBERS_EXPECTED_MS = 1_500;
 /** Time after which a link that has not opened no longer holds up others. */
 export const PENDING_DIAL_MS = 300;
 /** Limits of the backoff before a gate is redialled. */
--- a/packages/relay/src/entry.ts
+++ b/packages/relay/src/entry.ts
@@ -18,7 +18,6 @@
   DEFAULT_OBJECTIVE_MS,
   DEFAULT_TIMEOUT_MS,
   DEFAULT_URGENCY,
-  LINK_WAIT_SHARE,
   MIN_RETRY_AFTER_MS,
   RETRY_AFTER_MS,
 } from './constants.js';
@@ -30,7 +29,7 @@
   RoutePlan,
 } from './entry_types.js';
 import type {LogFields} from './observer.js';
-import type {RefusalReason, RelayOutcome} from './outcome.js';
+import type {RelayOutcome} from './outcome.js';
 import {describeOutcome, newRefusal} from './outcome.js';
 import type {PastRefusals} from './repeated_requests.js';
 import {RepeatedRequests} from './repeated_requests.js';
@@ -49,12 +48,6 @@
 /** Time for which a service is expected to send further responses without a length. */
 const UNFRAMED_RESPONSE_TTL_MS = 60_000;
 
-/** Refusals after which further links may help the next request. */
-const SHORTAGES: ReadonlySet<RefusalReason> = new Set([
-  'no-target',
-  'overloaded',
-]);
-
 /** Outcome of a request, with the fields logged alongside it. */
 interface RoutedOutcome {
   readonly outcome: RelayOutcome;
@@ -139,7 +132,7 @@
     const mayRoute = await this.options.mayRoute();
     const {state, workspaces} = this.options.getConfiguration();
     if (state.version === 0 || !mayRoute) {
-      const outcome = newRefusal('no-configuration', this.getRetryAfterMs());
+      const outcome = newRefusal('no-configuration', RETRY_AFTER_MS);
       return {outcome, fields: {version: state.version, mayRoute}};
     }
     const route = this.findRoute(request);
@@ -155,11 +148,9 @@
     }
     const plan = this.resolvePlan(route, request, version, workspace);
     if (!plan) {
-      const outcome = newRefusal('no-target', this.getRetryAfterMs());
+      const outcome = newRefusal('no-target', RETRY_AFTER_MS);
       return {outcome, fields: {version, ruleId: route.rule.id}};
     }
-    const linkWait = this.waitForLink(request, plan);
-    if (linkWait) await linkWait;
     if (request.signal.aborted) {
       const outcome: RelayOutcome = {kind: 'lost', reason: 'cancelled'};
       return {outcome, fields: {version, ruleId: route.rule.id}};
@@ -204,9 +195,6 @@
       return {outcome, fields: routed.getLogFields()};
     }
     const outcome = await routed.run();
-    if (outcome.kind === 'refused' && SHORTAGES.has(outcome.reason)) {
-      this.options.directory.openMore(plan.serviceId);
-    }
     if (outcome.kind === 'answered' && !outcome.isFramed) {
       const untilMs = performance.now() + UNFRAMED_RESPONSE_TTL_MS;
       this.unframedUntilMs.set(plan.serviceId, untilMs);
@@ -214,32 +202,10 @@
     return {outcome, fields: routed.getLogFields()};
   }
 
-  // Links are opened as callers need them, so the first request may precede its link.
-  private waitForLink(
-    request: CallerRequest,
-    plan: RoutePlan,
-  ): Promise<void> | undefined {
-    const {receivedAtMs, timeoutMs = Infinity, serveUntilMs} = request;
-    const deadlineAtMs = Math.min(
-      receivedAtMs + Math.min(timeoutMs, plan.timeoutMs),
-      serveUntilMs,
-    );
-    const remainingMs = deadlineAtMs - performance.now();
-    return this.options.directory.whenAccepting(
-      plan.serviceId,
-      LINK_WAIT_SHARE * remainingMs,
-    );
-  }
-
-  // Callers that were refused together, such as after a start, come back spread out.
-  private getRetryAfterMs(): number {
-    return RETRY_AFTER_MS * (0.5 + this.options.random());
-  }
-
   // The newer version may have the route or the key.
   private refuseUnknown(reason: 'no-route' | 'unknown-key'): RelayOutcome {
     return this.options.hasNewerVersion()
-      ? newRefusal('version-behind', this.getRetryAfterMs())
+      ? newRefusal('version-behind', RETRY_AFTER_MS)
       : newRefusal(reason, 0);
   }
 
--- a/packages/relay/src/gate_directory.ts
+++ b/packages/relay/src/gate_directory.ts
@@ -3,7 +3,6 @@
 import type {RandomSource} from '@cassiaknot/coordination';
 import {Backoff} from '@cassiaknot/coordination';
 import type {InstanceId, ServiceId} from '@cassiaknot/inventory';
-import {brandId} from '@cassiaknot/inventory';
 import type {
   GateAddress,
   MemberRecord,
@@ -12,19 +11,13 @@
   RelayLinkEvents,
 } from '@cassiaknot/peer-protocol';
 import {
-  MAX_LINK_WAIT_MS,
   MAX_PENDING_DIALS,
   MAX_REDIAL_DELAY_MS,
-  MEMBERS_EXPECTED_MS,
   MEMBER_RETENTION_MS,
   MIN_REDIAL_DELAY_MS,
   PENDING_DIAL_MS,
 } from './constants.js';
-import type {DialCandidate} from './dial_plan.js';
-import {LinkPace, chooseDials, shuffle} from './dial_plan.js';
 import {GateLink} from './gate_link.js';
-import {LinkDemand} from './link_demand.js';
-import {LinkLog} from './link_log.js';
 import type {RelayObserver} from './observer.js';
 import {SendClock} from './transit_delay.js';
 
@@ -50,14 +43,10 @@
 }
 
 /** A gate with its link and dial state. */
-interface KnownGate extends DialCandidate {
-  readonly instanceId: InstanceId;
+interface KnownGate {
   readonly link: GateLink;
   readonly backoff: Backoff;
   address: GateAddress;
-  serviceId: ServiceId | undefined;
-  /** Whether no attempt to open the link has ended yet. */
-  isUntried: boolean;
   /** Whether the link is open or being opened. */
   isDialled: boolean;
   /** When the link was dialled, until its gate has reported its target. */
@@ -66,21 +55,17 @@
   lastSeenAtMs: number;
 }
 
+const COMPONENT = 'link';
+
 /** Gates of all known members. */
 export class GateDirectory {
   private readonly gates = new Map<InstanceId, KnownGate>();
   /** Open links whose target accepts requests, by its service. */
-  private readonly acceptingLinks = new Map<ServiceId, Set<GateLink>>();
+  private readonly acceptingLinks = new Map<string, Set<GateLink>>();
 
   private readonly sendClock = new SendClock();
-  private readonly demand = new LinkDemand();
-  private readonly startedAtMs = performance.now();
-  private readonly pace = new LinkPace(this.startedAtMs);
-  private readonly log: LinkLog;
 
-  constructor(private readonly options: GateDirectoryOptions) {
-    this.log = new LinkLog(options.observer, this.startedAtMs);
-  }
+  constructor(private readonly options: GateDirectoryOptions) {}
 
   /** Applies the current member list. */
   setMembers(members: Iterable<MemberRecord>): void {
@@ -93,7 +78,6 @@
         continue;
       }
       if (member.state !== 'dead') gate.lastSeenAtMs = nowMs;
-      gate.serviceId = member.serviceId;
       this.updateAddress(gate, member.gateAddress);
     }
     this.dialDue();
@@ -111,8 +95,6 @@
       }
     }
     this.dialDue();
-    this.releaseHopeless();
-    this.log.logSummary(nowMs, this.gates.size);
   }
 
   /** Returns the gates whose target runs a service and accepts requests. */
@@ -120,37 +102,6 @@
     return [...(this.acceptingLinks.get(serviceId) ?? [])];
   }
 
-  /**
-   * Waits until a gate accepts requests for a service; undefined if a link to one is
-   * open or none can be expected in this time.
-   */
-  whenAccepting(
-    serviceId: ServiceId,
-    maxWaitMs: number,
-  ): Promise<void> | undefined {
-    if (this.demand.recordRequest(serviceId)) this.dialDue();
-    const waitMs = Math.min(maxWaitMs, MAX_LINK_WAIT_MS);
-    if (waitMs <= 0 || this.acceptingLinks.has(serviceId)) return undefined;
-    if (!this.mayFindGate(serviceId)) return undefined;
-    return this.demand.wait(serviceId, waitMs);
-  }
-
-  /** Opens further links to gates of a service, as the open ones did not suffice. */
-  openMore(serviceId: ServiceId): void {
-    const openCount = this.acceptingLinks.get(serviceId)?.size ?? 0;
-    this.demand.recordShortage(serviceId, openCount);
-    this.dialDue();
-  }
-
-  /** Wraps the events of links that peers open; the own dials are paced by them. */
-  countAccepted(events: RelayLinkEvents): RelayLinkEvents {
-    const onOpen = (link: RelayLink) => {
-      this.pace.recordLink(performance.now());
-      events.onOpen(link);
-    };
-    return {...events, onOpen};
-  }
-
   /** Returns the number of gates with an open link and a known target state. */
   countOpenLinks(): number {
     let count = 0;
@@ -181,10 +132,6 @@
       dataCentreId,
     );
     const gate: KnownGate = {
-      instanceId,
-      isSameDataCentre: link.isSameDataCentre,
-      serviceId: member.serviceId,
-      isUntried: true,
       link,
       backoff,
       address: gateAddress,
@@ -203,59 +150,18 @@
   private dialDue(): void {
     const nowMs = performance.now();
     let pendingCount = 0;
-    const due: KnownGate[] = [];
-    for (const gate of this.gates.values()) {
+    const due: Array<readonly [InstanceId, KnownGate]> = [];
+    for (const [instanceId, gate] of this.gates) {
       const {isDialled, openingSinceMs = -Infinity, nextDialAtMs} = gate;
       if (nowMs - openingSinceMs < PENDING_DIAL_MS) pendingCount += 1;
-      if (!isDialled && nowMs >= nextDialAtMs) due.push(gate);
-    }
-    const room = MAX_PENDING_DIALS - pendingCount;
-    if (due.length === 0 || room <= 0) return;
-    const spareAllowance = this.pace.getAllowance(nowMs);
-    const shortages = this.demand.getShortages(id =>
-      this.countLinks(id, nowMs),
-    );
-    // Most sweeps after a start have nothing to dial yet.
-    const needsOwnDataCentre = this.options.watcher !== undefined;
-    const hasNeed =
-      shortages.size > 0 ||
-      (needsOwnDataCentre && due.some(gate => gate.isSameDataCentre));
-    if (spareAllowance === 0 && !hasNeed) return;
-    const chosen = chooseDials(shuffle(due, this.options.random), {
-      room,
-      spareAllowance,
-      shortages,
-      needsOwnDataCentre,
-    });
-    for (const gate of chosen) this.dial(gate.instanceId, gate);
-  }
-
-  /** Counts the links to gates of a service that are open or being opened. */
-  private countLinks(serviceId: ServiceId, nowMs: number): number {
-    let count = this.acceptingLinks.get(serviceId)?.size ?? 0;
-    for (const gate of this.gates.values()) {
-      const {openingSinceMs = -Infinity} = gate;
-      if (nowMs - openingSinceMs >= PENDING_DIAL_MS) continue;
-      if (gate.serviceId === serviceId) count += 1;
+      if (!isDialled && nowMs >= nextDialAtMs) due.push([instanceId, gate]);
     }
-    return count;
-  }
-
-  /** Whether a gate that has not been tried yet may serve a service. */
-  private mayFindGate(serviceId: ServiceId): boolean {
-    if (performance.now() - this.startedAtMs < MEMBERS_EXPECTED_MS) return true;
-    for (const gate of this.gates.values()) {
-      if (!gate.isUntried) continue;
-      if (gate.serviceId === undefined || gate.serviceId === serviceId) {
-        return true;
+    while (due.length > 0 && pendingCount < MAX_PENDING_DIALS) {
+      const index = Math.floor(this.options.random.next() * due.length);
+      for (const [instanceId, gate] of due.splice(index, 1)) {
+        this.dial(instanceId, gate);
       }
-    }
-    return false;
-  }
-
-  private releaseHopeless(): void {
-    for (const serviceId of this.demand.getAwaited()) {
-      if (!this.mayFindGate(serviceId)) this.demand.release(serviceId);
+      pendingCount += 1;
     }
   }
 
@@ -273,7 +179,6 @@
     gate.openingSinceMs = performance.now();
     const events = gate.link.getEvents();
     const isSelf = instanceId === self;
-    if (!isSelf) this.pace.recordLink(gate.openingSinceMs);
     gate.link.attach(
       isSelf ? openLocalLink(events) : dial(gate.address, events),
     );
@@ -284,11 +189,10 @@
     if (!gate) return;
     this.removeAccepting(gate.link);
     gate.isDialled = false;
-    gate.isUntried = false;
     gate.openingSinceMs = undefined;
     gate.nextDialAtMs = performance.now() + gate.backoff.next();
-    this.log.logLost(instanceId);
     this.options.watcher?.onClose(instanceId);
+    this.options.observer.log('info', COMPONENT, 'lost', {gate: instanceId});
   }
 
   private handleTargetState(
@@ -300,30 +204,25 @@
     gate.backoff.reset();
     const isOpening = gate.openingSinceMs !== undefined;
     gate.openingSinceMs = undefined;
-    gate.isUntried = false;
     this.removeAccepting(gate.link);
-    if (state.isAccepting) {
-      this.addAccepting(brandId<ServiceId>(state.serviceId), gate.link);
-    }
-    if (
-      isOpening &&
-      state.isAccepting &&
-      this.pace.isActive(performance.now())
-    ) {
-      this.log.recordOpened();
-    } else {
-      this.log.logTargetState(instanceId, state);
-    }
+    if (state.isAccepting) this.addAccepting(state.serviceId, gate.link);
+    const {serviceId, isAccepting, slots, coldMs} = state;
+    this.options.observer.log('info', COMPONENT, 'target-state', {
+      gate: instanceId,
+      serviceId,
+      isAccepting,
+      slots,
+      coldMs: Math.round(coldMs),
+    });
     if (!isOpening) return;
     this.options.watcher?.onOpen(instanceId);
     this.dialDue();
   }
 
-  private addAccepting(serviceId: ServiceId, link: GateLink): void {
+  private addAccepting(serviceId: string, link: GateLink): void {
     const links = this.acceptingLinks.get(serviceId);
     if (links) links.add(link);
     else this.acceptingLinks.set(serviceId, new Set([link]));
-    this.demand.release(serviceId);
   }
 
   private removeAccepting(link: GateLink): void {
