Account for shares only where workspaces send jobs

The mean is now kept as a sum, jobs of other urgency are told apart first, and accounts begin with the first job of a workspace.

--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -25,6 +25,7 @@
   checkAdmission,
   getLoadFields,
   isSlowerThanOthers,
+  toTargetState,
 } from './gate_admission.js';
 import {GateLog} from './gate_log.js';
 import {findDecidingShare, toSharePriority} from './gate_shares.js';
@@ -98,16 +99,7 @@
 
   private getTargetState(): RelayFrameOf<'target-state'> {
     const session = this.options.localTarget.getSession();
-    const isOpen = session?.getState() === 'open';
-    return {
-      kind: 'target-state',
-      serviceId: session?.getAnnouncement().serviceId ?? '',
-      isAccepting: isOpen && !this.isStopping,
-      slots: session?.getAnnouncement().slots ?? 0,
-      coldMs: session?.getWarmUpLeftMs() ?? 0,
-      targetId: session?.getAnnouncement().targetId,
-      startedAtMs: session?.getAnnouncement().startedAtMs,
-    };
+    return toTargetState(session, this.isStopping);
   }
 
   private handleFrame(link: RelayLink, frame: RelayFrame): void {
--- a/packages/relay/src/gate_admission.ts
+++ b/packages/relay/src/gate_admission.ts
@@ -1,10 +1,10 @@
 /** What a gate tells of its target, and offers that it declines before the queue. */
 
 import type {ServiceId} from '@cassiaknot/inventory';
-import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {Job, JobPriority} from '@cassiaknot/routing';
 import type {LoadFields, ReceivedOffer} from './gate_call.js';
 import {toReportedPriority} from './gate_shares.js';
+import type {RelayFrameOf} from '@cassiaknot/peer-protocol';
 import type {RefusalReason} from './outcome.js';
 import type {RelayTargetSession} from './target_session.js';
 
@@ -65,3 +65,20 @@
   const runMs = session.getMeanRunMs(ruleId) ?? UNKNOWN_RUN_MS;
   return {waitMs, runMs, transitMs, ...session.getLearnedLoad()};
 }
+
+/** Returns the state of the target for the entries. */
+export function toTargetState(
+  session: RelayTargetSession | undefined,
+  isStopping: boolean,
+): RelayFrameOf<'target-state'> {
+  const isOpen = session?.getState() === 'open';
+  return {
+    kind: 'target-state',
+    serviceId: session?.getAnnouncement().serviceId ?? '',
+    isAccepting: isOpen && !isStopping,
+    slots: session?.getAnnouncement().slots ?? 0,
+    coldMs: session?.getWarmUpLeftMs() ?? 0,
+    targetId: session?.getAnnouncement().targetId,
+    startedAtMs: session?.getAnnouncement().startedAtMs,
+  };
+}
--- a/packages/routing/src/slot_scheduler.ts
+++ b/packages/routing/src/slot_scheduler.ts
@@ -44,14 +44,21 @@
   private pacer: StartPacer | undefined;
   private readonly shares = new WorkspaceShares();
   private readonly kinds = new KindService();
+  /** Whether a job of a workspace was offered; shares cost time on each job. */
+  private hasWorkspaces = false;
+  /** Sum of the expected run times of the running jobs. */
+  private runningExpectedMs = 0;
 
   constructor(private slots: number) {}
 
   /** Starts, queues or refuses a job. */
   offer(job: Job, nowMs: number): OfferResult {
     if (this.isClosed) return {kind: 'refused', reason: 'closed'};
-    this.shares.recordOffer(job, nowMs);
-    this.kinds.recordOffer(job, nowMs);
+    this.hasWorkspaces ||= job.workspaceId !== undefined;
+    if (this.hasWorkspaces) {
+      this.shares.recordOffer(job, nowMs);
+      this.kinds.recordOffer(job, nowMs);
+    }
     if (this.mayStart(nowMs) && this.waiting.length === 0) {
       if (willLikelyExceedDeadline(job, nowMs)) {
         return {kind: 'refused', reason: 'deadline'};
@@ -77,6 +84,9 @@
   /** Releases the slot of a finished job to the next in the queue. */
   finish(job: Job, nowMs: number): void {
     if (!this.running.delete(job)) return;
+    // The sum starts anew from exactly 0, so that rounding errors don't add up.
+    this.runningExpectedMs =
+      this.running.size === 0 ? 0 : this.runningExpectedMs - job.expectedRunMs;
     this.shares.recordFinish(job, nowMs);
     this.startNext(nowMs);
   }
@@ -196,8 +206,11 @@
 
   private start(job: Job, nowMs: number): void {
     this.running.add(job);
-    this.shares.recordStart(job, nowMs);
-    this.kinds.recordStart(job, nowMs);
+    this.runningExpectedMs += job.expectedRunMs;
+    if (this.hasWorkspaces) {
+      this.shares.recordStart(job, nowMs);
+      this.kinds.recordStart(job, nowMs);
+    }
     this.pacer?.recordStart(nowMs);
     job.start();
   }
@@ -223,12 +236,13 @@
     if (this.mayStart(nowMs) && isEmpty) {
       return {waitMs: 0, reason: 'overloaded'};
     }
-    const jobs = [...this.waiting, job];
+    const jobs = this.hasWorkspaces ? [...this.waiting, job] : this.waiting;
     if (!this.sharesSlots(jobs, nowMs)) {
       const place = this.toPlace(job, nowMs);
-      const ahead = this.waiting.filter(
-        other => comparePlaces(this.toPlace(other, nowMs), place) <= 0,
-      );
+      const ahead = this.waiting.filter(other => {
+        if (other.urgency !== job.urgency) return other.urgency < job.urgency;
+        return comparePlaces(this.toPlace(other, nowMs), place) <= 0;
+      });
       const waitMs = this.estimateWaitBehindMs(ahead, nowMs);
       return {waitMs, reason: 'overloaded'};
     }
@@ -255,6 +269,7 @@
   // Without contention, and without workspaces, shares have no influence.
   private sharesSlots(jobs: readonly JobPriority[], nowMs: number): boolean {
     return (
+      this.hasWorkspaces &&
       this.hasStandingQueue(nowMs) &&
       jobs.some(({workspaceId}) => workspaceId !== undefined)
     );
@@ -289,10 +304,8 @@
   }
 
   private getMeanExpectedRunMs(): number {
-    if (this.running.size === 0) return 0;
-    let sumMs = 0;
-    for (const job of this.running) sumMs += job.expectedRunMs;
-    return sumMs / this.running.size;
+    const {size} = this.running;
+    return size === 0 ? 0 : this.runningExpectedMs / size;
   }
 }
 
