Keep the concurrency limit of a target that refuses

A target in trouble refuses at any load, so a limit that shrank by a fifth for each refusal fell to 1.

--- a/packages/relay/src/gate.ts
+++ b/packages/relay/src/gate.ts
@@ -105,7 +105,9 @@
   private handleFrame(link: RelayLink, frame: RelayFrame): void {
     switch (frame.kind) {
       case 'offer':
-        this.handleOffer(link, frame);
+        this.connections
+          .get(link)
+          ?.receive(frame, transitMs => this.admit(link, frame, transitMs));
         return;
       case 'cancel':
         this.handleCancel(link, frame.callId);
@@ -119,12 +121,6 @@
     }
   }
 
-  private handleOffer(link: RelayLink, offer: RelayFrameOf<'offer'>): void {
-    this.connections
-      .get(link)
-      ?.receive(offer, transitMs => this.admit(link, offer, transitMs));
-  }
-
   private admit(
     link: RelayLink,
     offer: RelayFrameOf<'offer'>,
@@ -327,7 +323,6 @@
         if (classification.isOtherInstance) session.markMisdirected();
         else {
           this.recordPace(session, headers);
-          this.log.logLimitDecision(session, session.recordRefusal());
           this.applyReport(session, headers);
         }
         this.settleRefusal(call, 'target-refused', true);
--- a/packages/relay/src/target_session.ts
+++ b/packages/relay/src/target_session.ts
@@ -141,12 +141,6 @@
     this.pace.record(pace, performance.now());
   }
 
-  /** Records that the target has refused a request; returns a change of its limit. */
-  recordRefusal(): LimitDecision | undefined {
-    if (!this.pace.isKnown()) return undefined;
-    return this.applyLimit(this.limit.recordRefusal(performance.now()));
-  }
-
   getLoad(): SchedulerLoad {
     return this.scheduler.getLoad();
   }
--- a/packages/routing/src/concurrency_limit.ts
+++ b/packages/routing/src/concurrency_limit.ts
@@ -18,13 +18,11 @@
 const SHRINK_GRADIENT = 0.55;
 /** Ratio of fast to slow runs from which on a limit that is in use grows. */
 const GROW_GRADIENT = 0.75;
-/** Factor on the limit after a refusal by the target. */
-const REFUSAL_FACTOR = 0.8;
 /** Time without runs at low concurrency after which the limit grows again. */
 const MAX_BASELINE_AGE_MS = 4_000;
 
 /** Why a limit has changed. */
-export type LimitChange = 'faster' | 'slower' | 'refused' | 'no-baseline';
+export type LimitChange = 'faster' | 'slower' | 'no-baseline';
 
 /** Concurrency limit between 1 and the number of slots. */
 export class ConcurrencyLimit {
@@ -81,13 +79,6 @@
     return this.decide(nowMs);
   }
 
-  /** Records that the target has refused a request for its load. */
-  recordRefusal(nowMs: number): LimitChange | undefined {
-    if (nowMs - this.decidedAtMs < MIN_DECISION_INTERVAL_MS) return undefined;
-    const limit = Math.max(1, Math.floor(REFUSAL_FACTOR * this.limit));
-    return this.change(limit, 'refused', nowMs);
-  }
-
   private decide(nowMs: number): LimitChange | undefined {
     if (this.highCount < SAMPLES_PER_DECISION) return undefined;
     if (nowMs - this.decidedAtMs < MIN_DECISION_INTERVAL_MS) return undefined;
