--- a/packages/inventory/src/validate_state.ts
+++ b/packages/inventory/src/validate_state.ts
@@ -1,7 +1,7 @@
 /**
  * Validates a state: its references resolve within it, no two of its rules are
- * ambiguous, no two of its workspaces hold a key, and its size is within the limit. Runs before a change is accepted
- * and again on every daemon.
+ * ambiguous, no two of its workspaces hold the same key, and its size is within the
+ * limit. Runs before a change is accepted and again on every daemon.
  */
 
 import {MAX_RECORDS} from './constants.js';
--- a/packages/relay/src/response_memory.ts
+++ b/packages/relay/src/response_memory.ts
@@ -1,7 +1,8 @@
 /**
- * Bounds the memory for responses that are being read, over all connections to
- * targets, as a part of the memory that the process holds (held_memory.ts). A target in trouble may send without end, and several requests to it
- * would otherwise fill the memory long before each reaches a limit of its own.
+ * Bounds the memory for responses that are being read, over all connections to targets,
+ * as a part of the memory that the process holds (held_memory.ts). A target in trouble
+ * may send without end, and several requests to it would otherwise fill the memory long
+ * before each reaches a limit of its own.
  */
 
 import {countReadBytes} from './buffer_collection.js';
--- a/packages/relay/src/testing/scripted_gates.ts
+++ b/packages/relay/src/testing/scripted_gates.ts
@@ -81,9 +81,10 @@
 }
 
 /**
- * Replies of a scripted gate: `failure` is an answer with status 500, `busy` a
- * refusal as overloaded, `over-share` one of a workspace above its share and `shed` a refusal by the target itself. `slow` is an
- * answer after some time, and `stall` one over a link that is silent until then.
+ * Replies of a scripted gate: `failure` is an answer with status 500, `busy` a refusal
+ * as overloaded, `over-share` one of a workspace above its share and `shed` a refusal by
+ * the target itself. `slow` is an answer after some time, and `stall` one over a link
+ * that is silent until then.
  */
 export type ReplyKind =
   | 'answer'
--- a/packages/routing/src/share_order.ts
+++ b/packages/routing/src/share_order.ts
@@ -3,8 +3,9 @@
  * usually nested calls of requests that run already. Then come priorities that are
  * served much less than all, then the others by priority; within a priority, jobs
  * within the fair share of their workspace come before those beyond it, those that are
- * beyond it by less before others, and all of these are ordered by urgency. A priority whose higher-ranked kinds are served less than lower
- * ones is ordered by urgency first until that has ended.
+ * beyond it by less before others, and all of these are ordered by urgency. A priority
+ * whose higher-ranked kinds are served less than lower ones is ordered by urgency first
+ * until that has ended.
  */
 
 import type {JobRefusalReason} from './job.js';
--- a/packages/test-support/src/bench/main.ts
+++ b/packages/test-support/src/bench/main.ts
@@ -1,4 +1,4 @@
-/** Runs the benchmarks: `npm run bench -- latency|convergence|fleet|membership|workspaces|load|quota`. */
+/** Runs the benchmarks; `npm run bench` without a name lists them. */
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
